--- /dev/null
+++ b/agent/host/command.go
@@ -0,0 +1,84 @@
+package host
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"cranberrypoint.example/coord/cmdln"
+	"cranberrypoint.example/coord/conf"
+	"cranberrypoint.example/coord/worker"
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+)
+
+const defaultDrain = 2 * time.Minute
+
+// Command is the subcommand that runs an agent.
+type Command struct {
+	settings Settings
+	drain    time.Duration
+}
+
+// Name returns the name of the subcommand.
+func (*Command) Name() string { return "serve" }
+
+// Synopsis returns a line about the subcommand.
+func (*Command) Synopsis() string { return "run the process beside one upstream" }
+
+// Usage returns the help text of the subcommand.
+func (*Command) Usage() string {
+	return "serve [flags]:\n  Run until SIGTERM, then finish what runs and exit.\n" +
+		"  Each flag falls back to CRANBERRYPOINT_ and its name in upper case.\n"
+}
+
+// SetFlags registers the settings.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	s := &c.settings
+	s.Register(f)
+	f.StringVar(&s.Upstream, "upstream", "", "base URL of the upstream, such as http://127.0.0.1:9000 (required)")
+	f.StringVar(&s.Kind, "kind", KindEngine, "kind of the upstream: engine or plain")
+	f.IntVar(&s.Slots, "slots", worker.DefaultSlots, "number of runs that the upstream takes at once")
+	f.DurationVar(&c.drain, "drain-timeout", defaultDrain, "longest time to finish what runs after SIGTERM")
+}
+
+func (c *Command) check() error {
+	s := &c.settings
+	if err := s.Check(); err != nil {
+		return err
+	}
+	switch {
+	case !conf.IsURL(s.Upstream):
+		return conf.Invalid("upstream", s.Upstream, "an http or https URL, such as http://127.0.0.1:9000,")
+	case s.Kind != KindEngine && s.Kind != KindPlain:
+		return conf.Invalid("kind", s.Kind, "engine or plain")
+	case s.Slots < 1:
+		return eris.Errorf("-slots is %d; a number above 0 would be right", s.Slots)
+	case c.drain <= 0:
+		return eris.Errorf("-drain-timeout is %s; a duration above 0 would be right", c.drain)
+	}
+	return nil
+}
+
+// Execute runs the agent until a signal.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if e := cmdln.Checked(f, c.check); e != cmdln.Success {
+		return e
+	}
+	l := c.settings.Logger()
+	sig, cancel := cmdln.Signals(ctx)
+	defer cancel()
+	h, stop, err := Start(c.settings, l)
+	if err != nil {
+		l.WithError(err).Error("start")
+		return cmdln.Failure
+	}
+	defer stop()
+	l.WithField("address", h.Address()).WithField("ops", h.Ops()).Info("serving")
+	<-sig.Done()
+	cancel()
+	ctx, done := context.WithTimeout(ctx, c.drain)
+	defer done()
+	h.Drain(ctx)
+	return cmdln.Success
+}
--- /dev/null
+++ b/agent/host/host.go
@@ -0,0 +1,361 @@
+// Package host is the agent: the shell of sockets and timers around the worker
+// reducer, beside one upstream.
+package host
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"cranberrypoint.example/agent/engine"
+	"cranberrypoint.example/agent/plain"
+	"cranberrypoint.example/coord/conf"
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/feed"
+	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/link"
+	"cranberrypoint.example/coord/opsrv"
+	"cranberrypoint.example/coord/quota"
+	"cranberrypoint.example/coord/tasks"
+	"cranberrypoint.example/coord/trace"
+	"cranberrypoint.example/coord/tree"
+	"cranberrypoint.example/coord/wire"
+	"cranberrypoint.example/coord/worker"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	tickPeriod = 20 * time.Millisecond
+	// sweepPeriod is the time between two comparisons with what the engine holds.
+	sweepPeriod  = time.Second
+	sweepTimeout = 2 * time.Second
+	// farFuture is an authority that doesn't end.
+	farFuture = 100 * 365 * 24 * time.Hour
+)
+
+// Host is a running agent.
+type Host struct {
+	wire.DRPCAgentUnimplementedServer
+
+	settings Settings
+	log      logrus.FieldLogger
+	trace    *trace.Log
+	metrics  *metrics
+	engine   *engine.Client
+	service  *plain.Client
+	feed     *feed.Feed
+	address  string
+	ops      string
+	born     time.Time
+	ctx      context.Context
+	tasks    tasks.Group
+
+	mu       sync.Mutex
+	worker   *worker.Worker
+	holder   *quota.Holder
+	streams  map[worker.StreamID]*outbox
+	calls    map[worker.RunID]*call
+	answers  map[uint64]chan wire.Ran
+	lastID   uint64
+	draining bool
+}
+
+// Settings are those of an agent.
+type Settings struct {
+	conf.Common
+	// Upstream is the base URL of the upstream.
+	Upstream string
+	// Kind is engine or plain.
+	Kind string
+	// Slots is how many runs the upstream takes at once.
+	Slots int
+}
+
+// Kinds of upstreams.
+const (
+	KindEngine = "engine"
+	KindPlain  = "plain"
+)
+
+// Start runs an agent and returns it with a function that stops it at once.
+func Start(s Settings, l logrus.FieldLogger) (h *Host, stop func(), err error) {
+	defer fault.Annotate(&err, "start agent %s", s.VM)
+	sec, err := s.TLS()
+	if err != nil {
+		return nil, nil, err
+	}
+	lis, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, nil, err
+	}
+	ops, err := net.Listen("tcp", s.Ops)
+	if err != nil {
+		_ = lis.Close()
+		return nil, nil, err
+	}
+	if sec == nil {
+		l.Warn("connections between processes are not encrypted: no -tls-cert")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
+	incarnation := uint64(now.UnixNano())
+	h = &Host{
+		settings: s,
+		log:      l,
+		trace:    trace.NewLog(s.VM, s.TraceSize),
+		metrics:  newMetrics(),
+		engine:   engine.New(s.Upstream),
+		service:  plain.New(s.Upstream),
+		address:  lis.Addr().String(),
+		ops:      ops.Addr().String(),
+		born:     now,
+		ctx:      ctx,
+		worker:   worker.New(now, incarnation, worker.WithSlots(s.Slots)),
+		holder:   quota.NewHolder(),
+		streams:  map[worker.StreamID]*outbox{},
+		calls:    map[worker.RunID]*call{},
+		answers:  map[uint64]chan wire.Ran{},
+	}
+	h.holder.Authorize(now, now.Add(farFuture))
+	h.trace.Add(now, trace.Event{Kind: trace.Incarnated})
+	pool, closePool := link.NewPool(sec)
+	id := feed.Identity{VM: s.VM, DataCentre: s.DataCentre, Incarnation: incarnation}
+	var stopFeed func()
+	h.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), pool, l, h.adopt)
+	h.metrics.watchFeed(&h.feed.Counts)
+	stopOps := opsrv.Serve(ops, h.metrics.registry, h.trace, h.Status)
+	h.tasks.Go(func() { _ = link.Serve(ctx, lis, sec, h.feed, h) })
+	h.tasks.Go(h.tick)
+	if s.Kind == KindEngine {
+		h.tasks.Go(h.sweep)
+	}
+	return h, func() {
+		cancel()
+		stopOps()
+		stopFeed()
+		closePool()
+		h.tasks.Close()
+	}, nil
+}
+
+// Address returns the address of the drpc server.
+func (h *Host) Address() string { return h.address }
+
+// Ops returns the address of the operators' server.
+func (h *Host) Ops() string { return h.ops }
+
+// Status tells what the agent is doing.
+func (h *Host) Status() opsrv.Status {
+	revision := h.feed.Revision()
+	ready := h.feed.Settled()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return opsrv.Status{
+		VM:          h.settings.VM,
+		Program:     string(fleet.Agent),
+		DataCentre:  h.settings.DataCentre,
+		Incarnation: uint64(h.born.UnixNano()),
+		Revision:    revision,
+		Ready:       ready && !h.draining,
+		Draining:    h.draining,
+		Active:      h.worker.Active(),
+	}
+}
+
+// Drain refuses new work and returns when what runs has ended, or when the context
+// ends.
+func (h *Host) Drain(ctx context.Context) {
+	h.mu.Lock()
+	h.draining = true
+	h.mu.Unlock()
+	h.trace.Add(time.Now(), trace.Event{Kind: trace.Draining})
+	h.log.Info("draining")
+	h.step(worker.Drained{})
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	for h.Status().Active > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			h.log.Warn("the time to drain is over")
+			return
+		}
+	}
+}
+
+func (h *Host) adopt(t *tree.Tree, l *fleet.List) {
+	v, _ := l.VM(h.settings.VM)
+	now := time.Now()
+	h.mu.Lock()
+	h.holder.Rebase(now, t, l, h.settings.VM, h.settings.DataCentre)
+	h.mu.Unlock()
+	h.trace.Add(now, trace.Event{Kind: trace.Adopted, Detail: revisionText(t, l)})
+	h.step(worker.Configured{Tree: t, Leaving: v.State == fleet.Leaving})
+}
+
+func (h *Host) tick() {
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			h.step(worker.Ticked{})
+			h.mu.Lock()
+			h.holder.Expire(time.Now())
+			h.mu.Unlock()
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+// sweep frees what the engine holds for nobody.
+func (h *Host) sweep() {
+	t := time.NewTicker(sweepPeriod)
+	defer t.Stop()
+	for {
+		ctx, cancel := context.WithTimeout(h.ctx, sweepTimeout)
+		held, err := h.engine.Held(ctx)
+		cancel()
+		if err == nil {
+			h.step(worker.HeldListed{Names: held.Requests})
+		}
+		select {
+		case <-t.C:
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) step(e worker.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, x := range h.worker.Step(time.Now(), e) {
+		h.run(x)
+	}
+}
+
+// run carries out an effect. The lock is held.
+func (h *Host) run(x worker.Effect) {
+	switch x := x.(type) {
+	case worker.Send:
+		h.send(x)
+	case worker.Close:
+		if o := h.streams[x.Stream]; o != nil {
+			o.close()
+		}
+	case worker.StartCall:
+		h.metrics.started.WithLabelValues(fleet.StageName(x.Run.Stage)).Inc()
+		h.startCall(x)
+	case worker.AbortCall:
+		h.abortCall(x.Run)
+	case worker.FreeHeld:
+		h.metrics.freed.Inc()
+		h.tasks.Go(func() { h.cancelAtEngine(x.Name) })
+	case worker.Throttle:
+		if c := h.calls[x.Run]; c != nil {
+			c.throttle(x.On)
+		}
+	case worker.AnswerCancel:
+		h.answers[x.Ask] <- x.Ran
+		delete(h.answers, x.Ask)
+	case worker.Trace:
+		h.metrics.events.WithLabelValues(string(x.Event.Kind)).Inc()
+		h.trace.Add(time.Now(), x.Event)
+	}
+}
+
+func (h *Host) send(x worker.Send) {
+	o := h.streams[x.Stream]
+	if o == nil {
+		return
+	}
+	o.put(x.Reply)
+}
+
+func (h *Host) abortCall(id worker.RunID) {
+	if c := h.calls[id]; c != nil {
+		c.abort()
+	}
+	if h.settings.Kind == KindEngine {
+		h.tasks.Go(func() { h.cancelAtEngine(id.String()) })
+	}
+}
+
+func (h *Host) cancelAtEngine(name string) {
+	ctx, cancel := context.WithTimeout(h.ctx, sweepTimeout)
+	defer cancel()
+	if err := h.engine.Cancel(ctx, name); err != nil {
+		h.log.WithError(err).Debug("cancel at the engine")
+	}
+}
+
+func (h *Host) addStream() (worker.StreamID, *outbox) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastID++
+	id := worker.StreamID(h.lastID)
+	o := newOutbox()
+	h.streams[id] = o
+	return id, o
+}
+
+func (h *Host) dropStream(id worker.StreamID) {
+	h.step(worker.Closed{Stream: id})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.streams, id)
+}
+
+// bodyOf returns the body of the stream that a run belongs to. The lock is held.
+func (h *Host) bodyOf(id worker.RunID) *body {
+	if o := h.streams[h.worker.StreamOf(id)]; o != nil {
+		return o.body
+	}
+	b := newBody()
+	_ = b.Close()
+	return b
+}
+
+// Cancel answers an entry that asks whether a request ran.
+func (h *Host) Cancel(ctx context.Context, q *wire.CancelRequest) (*wire.CancelReply, error) {
+	c := make(chan wire.Ran, 1)
+	h.mu.Lock()
+	h.lastID++
+	ask := h.lastID
+	h.answers[ask] = c
+	h.mu.Unlock()
+	opened := time.Now().Add(-time.Duration(q.AgeMicros) * time.Microsecond)
+	h.step(worker.CancelAsked{Ask: ask, Request: q.Request, Attempt: q.Attempt, Opened: opened})
+	select {
+	case r := <-c:
+		return &wire.CancelReply{Ran: r}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Reserve takes tokens from the shares that this agent holds.
+func (h *Host) Reserve(_ context.Context, q *wire.ReserveRequest) (*wire.ReserveReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.holder.Reserve(time.Now(), q.Request, q.Workspace, q.Tokens, q.Partial)
+	h.metrics.reserved.Add(float64(a.Granted))
+	return &wire.ReserveReply{
+		Granted:    a.Granted,
+		Balance:    a.Balance,
+		WaitMicros: a.Wait.Microseconds(),
+		Holder:     a.Holder,
+	}, nil
+}
+
+// Settle gives back the unused part of a reservation.
+func (h *Host) Settle(_ context.Context, q *wire.SettleRequest) (*wire.SettleReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	back := h.holder.Settle(time.Now(), q.Request, q.Workspace, q.Used)
+	h.metrics.returned.Add(float64(back))
+	return &wire.SettleReply{Returned: back}, nil
+}
--- /dev/null
+++ b/coord/conf/conf.go
@@ -0,0 +1,186 @@
+// Package conf defines the settings that all daemons share, as flags with a fallback to
+// environment variables.
+//
+// The variable of a flag is CRANBERRYPOINT_ and the flag's name in upper case with
+// underscores.
+package conf
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"flag"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+
+	"cranberrypoint.example/coord/fault"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+)
+
+// EnvPrefix starts the names of environment variables.
+const EnvPrefix = "CRANBERRYPOINT"
+
+// Common are the settings of every daemon.
+type Common struct {
+	VM         string
+	DataCentre string
+	// Listen is the address of the drpc server.
+	Listen string
+	// Advertise is the address of the drpc server as peers dial it.
+	Advertise string
+	// Ops is the address of the operators' HTTP server.
+	Ops string
+	// Platform is the base URL of the configuration service.
+	Platform string
+	// Peers are the addresses of other processes, separated by commas.
+	Peers     string
+	LogFormat string
+	LogLevel  string
+	TLSCert   string
+	TLSKey    string
+	TLSCA     string
+	// TraceSize is the number of events that the time line keeps.
+	TraceSize int
+}
+
+// DefaultTraceSize is the number of events that the time line keeps.
+const DefaultTraceSize = 20000
+
+// Register adds the flags to a set.
+func (c *Common) Register(f *flag.FlagSet) {
+	f.StringVar(&c.VM, "vm", "", "name of this VM, as the platform lists it (required)")
+	f.StringVar(&c.DataCentre, "data-centre", "", "data centre of this VM (required)")
+	f.StringVar(&c.Listen, "listen", "127.0.0.1:0", "IP address and port of the server for other processes of the system")
+	f.StringVar(&c.Advertise, "advertise", "", "IP address and port at which peers reach -listen (default: -listen)")
+	f.StringVar(&c.Ops, "ops-listen", "127.0.0.1:0", "IP address and port of the operators' HTTP server")
+	f.StringVar(&c.Platform, "platform", "", "base URL of the configuration service, such as http://10.0.0.1:2380 (required)")
+	f.StringVar(&c.Peers, "peers", "", "addresses of processes to learn from while the platform is down, separated by commas")
+	f.StringVar(&c.LogFormat, "log-format", "text", "format of the log: text or json")
+	f.StringVar(&c.LogLevel, "log-level", "info", "least level of logged lines: debug, info, warning or error")
+	f.StringVar(&c.TLSCert, "tls-cert", "", "file with this process's certificate in PEM; without it connections between processes are not encrypted")
+	f.StringVar(&c.TLSKey, "tls-key", "", "file with the certificate's key in PEM")
+	f.StringVar(&c.TLSCA, "tls-ca", "", "file with the private certificate authority in PEM")
+	f.IntVar(&c.TraceSize, "trace-size", DefaultTraceSize, "number of events that the time line keeps")
+}
+
+// Env sets the flags that the command line left alone from the environment.
+func Env(f *flag.FlagSet) (err error) {
+	defer fault.Annotate(&err, "environment")
+	return ff.Parse(f, nil, ff.WithEnvVarPrefix(EnvPrefix))
+}
+
+// Invalid returns an error that names a setting, its value and what would be right.
+func Invalid(name, value, right string) error {
+	return eris.Errorf("-%s is %q; %s would be right", name, value, right)
+}
+
+// Check returns an error for the first setting that is wrong.
+func (c *Common) Check() error {
+	switch {
+	case c.VM == "":
+		return Invalid("vm", c.VM, "the name of this VM")
+	case c.DataCentre == "":
+		return Invalid("data-centre", c.DataCentre, "the name of this VM's data centre")
+	case !IsAddress(c.Listen):
+		return Invalid("listen", c.Listen, "an IP address and a port, such as 127.0.0.1:7000,")
+	case c.Advertise != "" && !IsAddress(c.Advertise):
+		return Invalid("advertise", c.Advertise, "an IP address and a port, such as 10.0.0.7:7000,")
+	case !IsAddress(c.Ops):
+		return Invalid("ops-listen", c.Ops, "an IP address and a port, such as 127.0.0.1:7001,")
+	case !IsURL(c.Platform):
+		return Invalid("platform", c.Platform, "an http or https URL, such as http://10.0.0.1:2380,")
+	case c.LogFormat != "text" && c.LogFormat != "json":
+		return Invalid("log-format", c.LogFormat, "text or json")
+	case c.TraceSize < 1:
+		return eris.Errorf("-trace-size is %d; a number above 0 would be right", c.TraceSize)
+	}
+	for _, p := range c.PeerList() {
+		if !IsAddress(p) {
+			return Invalid("peers", p, "an IP address and a port, such as 10.0.0.2:7000,")
+		}
+	}
+	if _, err := logrus.ParseLevel(c.LogLevel); err != nil {
+		return Invalid("log-level", c.LogLevel, "debug, info, warning or error")
+	}
+	return c.checkTLS()
+}
+
+func (c *Common) checkTLS() error {
+	set := 0
+	for _, f := range []string{c.TLSCert, c.TLSKey, c.TLSCA} {
+		if f != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		return Invalid("tls-cert", c.TLSCert, "all of -tls-cert, -tls-key and -tls-ca, or none of them,")
+	}
+	return nil
+}
+
+// PeerList returns the addresses in Peers.
+func (c *Common) PeerList() []string {
+	var r []string
+	for _, p := range strings.Split(c.Peers, ",") {
+		if p = strings.TrimSpace(p); p != "" {
+			r = append(r, p)
+		}
+	}
+	return r
+}
+
+// IsAddress reports whether s is an IP address and a port.
+func IsAddress(s string) bool {
+	h, p, err := net.SplitHostPort(s)
+	return err == nil && p != "" && net.ParseIP(h) != nil
+}
+
+// IsURL reports whether s is an absolute http or https URL.
+func IsURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
+
+// Logger returns the log of a daemon.
+func (c *Common) Logger() *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(os.Stderr)
+	if c.LogFormat == "json" {
+		l.SetFormatter(&logrus.JSONFormatter{})
+	}
+	if v, err := logrus.ParseLevel(c.LogLevel); err == nil {
+		l.SetLevel(v)
+	}
+	return l
+}
+
+// TLS returns the configuration for connections between processes, with both ends
+// checked against the private authority; nil when the settings give no certificates.
+func (c *Common) TLS() (t *tls.Config, err error) {
+	defer fault.Annotate(&err, "certificates")
+	if c.TLSCert == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(c.TLSCert, c.TLSKey)
+	if err != nil {
+		return nil, err
+	}
+	pem, err := os.ReadFile(c.TLSCA)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("%s holds no certificate", c.TLSCA)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/coord/quota/split.go
@@ -0,0 +1,31 @@
+package quota
+
+import (
+	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/tree"
+)
+
+// HolderOf returns the agent that holds a workspace's share in a data centre under a
+// list of VMs.
+func HolderOf(l *fleet.List, dataCentre, workspace string) (fleet.VM, bool) {
+	return fleet.Top(l.All(func(v fleet.VM) bool {
+		return v.Role == fleet.Agent && v.DataCentre == dataCentre
+	}), workspace)
+}
+
+// Holders returns the agents that hold the shares of a workspace, the one in the data
+// centre home first.
+func Holders(t *tree.Tree, l *fleet.List, home, workspace string) []fleet.VM {
+	var r []fleet.VM
+	for _, c := range t.DataCentres() {
+		v, ok := HolderOf(l, c, workspace)
+		switch {
+		case !ok:
+		case c == home:
+			r = append([]fleet.VM{v}, r...)
+		default:
+			r = append(r, v)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/coord/router/event.go
@@ -0,0 +1,259 @@
+package router
+
+import (
+	"time"
+
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/trace"
+	"cranberrypoint.example/coord/tree"
+	"cranberrypoint.example/coord/wire"
+)
+
+// ID names one caller's request at this entry.
+type ID uint64
+
+// Ref names one run of a request.
+type Ref struct {
+	ID      ID
+	Attempt uint32
+	Stage   wire.Stage
+}
+
+// Call is a caller's request.
+type Call struct {
+	// KeyHash is the hash of the presented key; empty when none was presented.
+	KeyHash string
+	Route   string
+	// Name identifies the request to agents and in the time line.
+	Name string
+	// IdempotencyKey is the caller's name for a request that it may repeat. Requests of
+	// a workspace that share it share their Name.
+	IdempotencyKey string
+	// Prompt is the text of a generated call.
+	Prompt []byte
+	// PromptTokens is an estimate from the size of the prompt.
+	PromptTokens int64
+	// MaxTokens is the longest answer asked for; 0 is the route's longest.
+	MaxTokens int64
+	Method    string
+	Path      string
+	Headers   []*wire.Header
+	// Digest identifies the content of a keyed request.
+	Digest string
+}
+
+// Event is an input of the reducer.
+type Event interface{ event() }
+
+// Configured brings a new settings tree and list of VMs.
+type Configured struct {
+	Tree *tree.Tree
+	List *fleet.List
+}
+
+// Arrived is a new request.
+type Arrived struct {
+	ID   ID
+	Call Call
+}
+
+// CallerGone says that nobody waits for the answer.
+type CallerGone struct{ ID ID }
+
+// Passed says that the caller was sent all data below Offset bytes.
+type Passed struct {
+	ID     ID
+	Offset int64
+}
+
+// TokensAnswered is a holder's answer to a Reserve effect.
+type TokensAnswered struct {
+	ID    ID
+	VM    string
+	Reply *wire.ReserveReply
+	Err   error
+}
+
+// RunGranted says that a run has a slot.
+type RunGranted struct {
+	Ref         Ref
+	Incarnation uint64
+}
+
+// RunHead is the status and the headers of a plain answer.
+type RunHead struct {
+	Ref  Ref
+	Head *wire.Head
+}
+
+// RunData is a part of an answer.
+type RunData struct {
+	Ref  Ref
+	Data *wire.Data
+}
+
+// RunDone is the end of a run that succeeded.
+type RunDone struct {
+	Ref  Ref
+	Done *wire.Done
+}
+
+// RunFailed is the end of a run that failed.
+type RunFailed struct {
+	Ref Ref
+	Err *fault.Error
+}
+
+// RunLost says that the stream of a run broke, fell silent or was never opened.
+type RunLost struct {
+	Ref Ref
+	// Sent is false when the agent can't have received the run.
+	Sent bool
+}
+
+// CancelAnswered is an agent's answer to an AskCancel effect.
+type CancelAnswered struct {
+	ID  ID
+	VM  string
+	Ran wire.Ran
+	Err error
+}
+
+// LoadHeard is an agent's view of its upstream.
+type LoadHeard struct {
+	VM   string
+	Load *wire.Load
+}
+
+// Ticked lets time pass.
+type Ticked struct{}
+
+// Drained tells the entry to take no new requests.
+type Drained struct{}
+
+func (Configured) event()     {}
+func (Arrived) event()        {}
+func (CallerGone) event()     {}
+func (Passed) event()         {}
+func (TokensAnswered) event() {}
+func (RunGranted) event()     {}
+func (RunHead) event()        {}
+func (RunData) event()        {}
+func (RunDone) event()        {}
+func (RunFailed) event()      {}
+func (RunLost) event()        {}
+func (CancelAnswered) event() {}
+func (LoadHeard) event()      {}
+func (Ticked) event()         {}
+func (Drained) event()        {}
+
+// Effect is an output of the reducer.
+type Effect interface{ effect() }
+
+// Accepted says that a request passed the checks of its key and route.
+type Accepted struct {
+	ID   ID
+	Name string
+}
+
+// Reserve asks a holder for tokens.
+type Reserve struct {
+	ID        ID
+	VM        string
+	Name      string
+	Workspace string
+	Tokens    int64
+}
+
+// Settle gives unused tokens back to a holder. It is repeated until answered.
+type Settle struct {
+	VM        string
+	Name      string
+	Workspace string
+	Used      int64
+}
+
+// OpenRun starts a run at an agent.
+type OpenRun struct {
+	Ref  Ref
+	VM   string
+	Open *wire.Open
+}
+
+// ResumeRun opens a new stream for a run.
+type ResumeRun struct {
+	Ref    Ref
+	VM     string
+	Resume *wire.Resume
+}
+
+// FeedRun tells a granted decode run where its KV cache is.
+type FeedRun struct {
+	Ref  Ref
+	Feed *wire.Feed
+}
+
+// AckRun confirms data to the agent.
+type AckRun struct {
+	Ref    Ref
+	Offset int64
+}
+
+// StopRun ends a run whose answer nobody needs.
+type StopRun struct{ Ref Ref }
+
+// AskCancel asks an agent to end a request and to tell whether it ran.
+type AskCancel struct {
+	ID      ID
+	VM      string
+	Name    string
+	Attempt uint32
+	Opened  time.Time
+}
+
+// Head starts the answer to the caller.
+type Head struct {
+	ID   ID
+	Head *wire.Head
+}
+
+// Write passes data to the caller.
+type Write struct {
+	ID     ID
+	Offset int64
+	Data   []byte
+}
+
+// Finish ends the answer to the caller; Err is nil when it is whole.
+type Finish struct {
+	ID    ID
+	Err   *fault.Error
+	Usage Usage
+	// Trailers follow a plain answer.
+	Trailers []*wire.Header
+}
+
+// Usage counts the tokens that a request was charged.
+type Usage struct {
+	PromptTokens int64
+	CachedTokens int64
+	OutputTokens int64
+}
+
+// Trace adds an event to the time line.
+type Trace struct{ Event trace.Event }
+
+func (Accepted) effect()  {}
+func (Reserve) effect()   {}
+func (Settle) effect()    {}
+func (OpenRun) effect()   {}
+func (ResumeRun) effect() {}
+func (FeedRun) effect()   {}
+func (AckRun) effect()    {}
+func (StopRun) effect()   {}
+func (AskCancel) effect() {}
+func (Head) effect()      {}
+func (Write) effect()     {}
+func (Finish) effect()    {}
+func (Trace) effect()     {}
--- /dev/null
+++ b/coord/router/request.go
@@ -0,0 +1,195 @@
+package router
+
+import (
+	"fmt"
+	"time"
+
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/tree"
+	"cranberrypoint.example/coord/wire"
+)
+
+type phase int
+
+const (
+	// reserving waits for holders to grant tokens.
+	reserving phase = iota
+	// placing waits for a slot of the main run.
+	placing
+	// prefilling waits for the KV cache.
+	prefilling
+	// answering receives the answer.
+	answering
+	// unclear asks the agent whether the request ran.
+	unclear
+)
+
+type grant struct {
+	vm     string
+	tokens int64
+}
+
+// target is one run of a request and the agent that has it.
+type target struct {
+	ref Ref
+	vm  string
+	// live is false when no stream belongs to the run.
+	live    bool
+	resumes int
+	opened  time.Time
+}
+
+type request struct {
+	id        ID
+	call      Call
+	workspace string
+	keyID     string
+	service   string
+	generated bool
+	open      bool
+	values    tree.Resolved
+	weight    int64
+	phase     phase
+	startBy   time.Time
+	deadline  time.Time
+
+	holders []fleet.VM
+	holder  int
+	want    int64
+	granted int64
+	grants  []grant
+	wait    time.Duration
+	reached bool
+
+	main     target
+	prefill  target
+	first    time.Time
+	attempts uint32
+	prefills uint32
+	avoid    map[string]bool
+	// ran is the truth so far: no until a run may have started.
+	ran wire.Ran
+	// fed is true once prompt tokens were spent.
+	fed      bool
+	offset   int64
+	passed   int64
+	tokens   int64
+	headSent bool
+	usage    Usage
+	askAgain time.Time
+}
+
+func (r *request) name() string { return r.call.Name }
+
+// reservation is the name under which holders know the request's tokens.
+func (r *request) reservation(vm string) string {
+	return fmt.Sprintf("%s/%d@%s", r.call.Name, r.id, vm)
+}
+
+// idempotent reports whether the request may run more than once.
+func (r *request) idempotent() bool { return r.generated || r.values.Idempotent }
+
+// keyed reports whether repetitions of the request must meet at one agent.
+func (r *request) keyed() bool { return r.call.IdempotencyKey != "" && !r.idempotent() }
+
+// cost is what the request is charged at most, in tokens.
+func (r *request) cost() int64 {
+	if r.generated {
+		return r.call.PromptTokens + r.call.MaxTokens
+	}
+	return r.values.Cost
+}
+
+// used is what the request is charged in the end, in tokens.
+func (r *request) used() int64 {
+	switch {
+	case r.ran == wire.Ran_RAN_NO:
+		return 0
+	case !r.generated:
+		return r.values.Cost
+	case !r.fed:
+		return 0
+	default:
+		return r.call.PromptTokens + r.tokens
+	}
+}
+
+// openMain returns the first message of the request's main run.
+func (r *request) openMain(now time.Time, revision uint64) *wire.Open {
+	o := r.openAny(now, revision, r.main.ref)
+	if r.generated {
+		o.Prompt = r.call.Prompt
+		o.MaxTokens = r.call.MaxTokens
+		o.SkipTokens = r.tokens
+		o.Base = r.offset
+		o.Cost = r.call.MaxTokens - r.tokens
+		return o
+	}
+	o.Method = r.call.Method
+	o.Path = r.call.Path
+	o.Headers = r.call.Headers
+	o.Cost = r.values.Cost
+	return o
+}
+
+func (r *request) openPrefill(now time.Time, revision uint64) *wire.Open {
+	o := r.openAny(now, revision, r.prefill.ref)
+	o.Prompt = r.call.Prompt
+	o.Cost = r.call.PromptTokens
+	o.SkipTokens = r.tokens
+	o.MaxTokens = r.call.MaxTokens
+	return o
+}
+
+func (r *request) openAny(now time.Time, revision uint64, f Ref) *wire.Open {
+	startBy := r.startBy
+	if f.Attempt > 1 || r.offset > 0 {
+		startBy = r.deadline
+	}
+	return &wire.Open{
+		Request:        r.call.Name,
+		Attempt:        f.Attempt,
+		Stage:          f.Stage,
+		Workspace:      r.workspace,
+		KeyId:          r.keyID,
+		Revision:       revision,
+		Route:          r.call.Route,
+		LeftMicros:     max(r.deadline.Sub(now).Microseconds(), 0),
+		PatienceMicros: max(startBy.Sub(now).Microseconds(), 0),
+		Idempotent:     r.idempotent(),
+		Batch:          r.values.Class == tree.Batch,
+		Weight:         r.weight,
+		Model:          r.model(),
+		Digest:         r.call.Digest,
+	}
+}
+
+func (r *request) model() string {
+	if r.generated {
+		return r.call.Path
+	}
+	return ""
+}
+
+// target returns the run that a reference names, if it is current.
+func (r *request) target(f Ref) *target {
+	switch f {
+	case r.main.ref:
+		return &r.main
+	case r.prefill.ref:
+		return &r.prefill
+	}
+	return nil
+}
+
+// mayHaveRun records that a run can have started.
+func (r *request) mayHaveRun() {
+	if r.ran == wire.Ran_RAN_NO {
+		r.ran = wire.Ran_RAN_UNKNOWN
+	}
+}
+
+func (r *request) tooLate() *fault.Error {
+	return fault.NotRun(fault.TooLate, "the deadline has passed").WithRan(r.ran)
+}
--- /dev/null
+++ b/coord/router/router.go
@@ -0,0 +1,631 @@
+// Package router is the reducer of an entry: it takes callers' requests through keys,
+// limits, the choice of upstreams, retries and the relay of the answer.
+//
+// The boundary is Step: an Event at a time goes in, Effects come out as data. There is
+// no I/O, clock or goroutine inside; randomness is seeded.
+package router
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/quota"
+	"cranberrypoint.example/coord/trace"
+	"cranberrypoint.example/coord/tree"
+	"cranberrypoint.example/coord/wire"
+)
+
+// Limits of retries.
+const (
+	// maxAttempts bounds the runs of one request at different agents.
+	maxAttempts = 4
+	// maxResumes bounds the streams opened for one run after the first.
+	maxResumes = 2
+	// againDelay is when to come back after a lack of upstreams.
+	againDelay = time.Second
+	// askDelay is the time between two questions about an unclear outcome.
+	askDelay = 500 * time.Millisecond
+	// avoidTerm is how long a VM that could not be reached gets no new work.
+	avoidTerm = 2 * time.Second
+)
+
+// Router is the state of an entry. Use New.
+type Router struct {
+	dataCentre string
+	tree       *tree.Tree
+	list       *fleet.List
+	loads      loads
+	requests   map[ID]*request
+	unreached  map[string]time.Time
+	draining   bool
+	now        time.Time
+	effects    []Effect
+}
+
+// Option changes a default.
+type Option func(*Router)
+
+// WithDataCentre names the data centre of the entry.
+func WithDataCentre(n string) Option { return func(r *Router) { r.dataCentre = n } }
+
+// New returns the state of an entry. The seed drives the choice of upstreams.
+func New(seed uint64, opts ...Option) *Router {
+	r := &Router{
+		tree:      tree.Empty(),
+		list:      fleet.NewList(0, nil),
+		loads:     newLoads(seed),
+		requests:  map[ID]*request{},
+		unreached: map[string]time.Time{},
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Active returns the number of requests in progress.
+func (r *Router) Active() int { return len(r.requests) }
+
+// Ready reports whether settings and a list of VMs are in force.
+func (r *Router) Ready() bool {
+	return r.tree.Revision() > 0 && r.list.Revision() > 0 && !r.draining
+}
+
+// Tree returns the settings in force.
+func (r *Router) Tree() *tree.Tree { return r.tree }
+
+// Step applies an event at a time and returns the effects.
+func (r *Router) Step(now time.Time, e Event) []Effect {
+	r.now = now
+	r.effects = nil
+	switch e := e.(type) {
+	case Configured:
+		r.configured(e)
+	case Arrived:
+		r.arrived(e)
+	case CallerGone:
+		r.callerGone(e.ID)
+	case Passed:
+		r.passed(e)
+	case TokensAnswered:
+		r.tokensAnswered(e)
+	case RunGranted:
+		r.runGranted(e)
+	case RunHead:
+		r.runHead(e)
+	case RunData:
+		r.runData(e)
+	case RunDone:
+		r.runDone(e)
+	case RunFailed:
+		r.runFailed(e.Ref, e.Err)
+	case RunLost:
+		r.runLost(e)
+	case CancelAnswered:
+		r.cancelAnswered(e)
+	case LoadHeard:
+		r.loads.heard(e.VM, e.Load)
+	case Ticked:
+		r.tick()
+	case Drained:
+		r.draining = true
+	}
+	return r.effects
+}
+
+func (r *Router) emit(e Effect) { r.effects = append(r.effects, e) }
+
+func (r *Router) trace(k trace.Kind, q *request, peer, detail string) {
+	r.emit(Trace{trace.Event{
+		Kind:      k,
+		Request:   q.name(),
+		Attempt:   q.attempts,
+		Workspace: q.workspace,
+		Peer:      peer,
+		Detail:    detail,
+	}})
+}
+
+func (r *Router) configured(e Configured) {
+	if e.Tree.Revision() >= r.tree.Revision() {
+		r.tree = e.Tree
+	}
+	if e.List.Revision() >= r.list.Revision() {
+		r.list = e.List
+		r.loads.keep(e.List)
+	}
+}
+
+func (r *Router) arrived(e Arrived) {
+	q := &request{id: e.ID, call: e.Call, ran: wire.Ran_RAN_NO, avoid: map[string]bool{}}
+	r.requests[e.ID] = q
+	if err := r.admit(q); err != nil {
+		r.finish(q, err)
+		return
+	}
+	r.trace(trace.Arrived, q, "", q.call.Route)
+	r.emit(Accepted{q.id, q.name()})
+	if q.workspace == "" {
+		r.place(q)
+		return
+	}
+	q.phase = reserving
+	q.want = q.cost()
+	q.holders = quota.Holders(r.tree, r.list, r.dataCentre, q.workspace)
+	r.reserveNext(q)
+}
+
+// admit resolves the key, the route and the values of a request.
+func (r *Router) admit(q *request) *fault.Error {
+	if !r.Ready() {
+		return fault.NotRun(fault.NotReady, "this entry takes no requests now").WithAgain(r.now.Add(againDelay))
+	}
+	route, found := r.tree.Route(q.call.Route)
+	w, id, ok := r.tree.Authenticate(q.call.KeyHash)
+	if !ok && !(found && route.Open) {
+		return fault.NotRun(fault.BadKey, "the key is missing, wrong or withdrawn")
+	}
+	q.workspace, q.keyID = w, id
+	if !found {
+		return fault.NotRun(fault.NoRoute, "no route serves this model or path")
+	}
+	if owner, owned := r.tree.RouteWorkspace(q.call.Route); owned && owner != w && !route.Open {
+		return fault.NotRun(fault.BadKey, "the route belongs to another workspace")
+	}
+	return r.fill(q, route)
+}
+
+func (r *Router) fill(q *request, route tree.Route) *fault.Error {
+	q.service = route.Service
+	q.open = route.Open
+	q.values, _ = r.tree.OfRoute(q.call.Route)
+	q.generated = r.tree.ServiceKind(route.Service) == tree.Generate
+	q.weight = 1
+	if v, ok := r.tree.OfWorkspace(q.workspace); ok {
+		q.weight = v.Weight
+	}
+	q.startBy = r.now.Add(q.values.Patience)
+	q.deadline = r.now.Add(q.values.Timeout)
+	if q.keyed() {
+		q.call.Name = keyedName(q.workspace, q.call.Route, q.call.IdempotencyKey)
+	}
+	if q.generated {
+		q.call.Path = route.Model
+		if q.call.MaxTokens == 0 || q.call.MaxTokens > q.values.MaxTokens {
+			q.call.MaxTokens = q.values.MaxTokens
+		}
+	}
+	return nil
+}
+
+// keyedName returns the name that all requests with an idempotency key share.
+func keyedName(workspace, route, key string) string {
+	h := sha256.Sum256([]byte(workspace + "\x00" + route + "\x00" + key))
+	return "k-" + hex.EncodeToString(h[:12])
+}
+
+// reserveNext asks the next holder for what is still missing.
+func (r *Router) reserveNext(q *request) {
+	if q.granted >= q.want {
+		r.trace(trace.Reserved, q, "", fmt.Sprint(q.granted))
+		r.place(q)
+		return
+	}
+	if q.holder == len(q.holders) {
+		r.overLimit(q)
+		return
+	}
+	v := q.holders[q.holder]
+	r.emit(Reserve{ID: q.id, VM: v.Name, Name: q.reservation(v.Name), Workspace: q.workspace, Tokens: q.want - q.granted})
+}
+
+func (r *Router) tokensAnswered(e TokensAnswered) {
+	q := r.requests[e.ID]
+	if q == nil || q.phase != reserving || q.holders[q.holder].Name != e.VM {
+		return
+	}
+	q.holder++
+	// A holder that did not answer may have granted: it is settled like the others.
+	q.grants = append(q.grants, grant{e.VM, e.Reply.GetGranted()})
+	q.granted += e.Reply.GetGranted()
+	q.reached = q.reached || e.Reply.GetHolder()
+	if w := time.Duration(e.Reply.GetWaitMicros()) * time.Microsecond; w > 0 && (q.wait == 0 || w < q.wait) {
+		q.wait = w
+	}
+	r.reserveNext(q)
+}
+
+func (r *Router) overLimit(q *request) {
+	if !q.reached {
+		err := fault.NotRun(fault.NotReady, "no holder of the workspace's limit could be reached")
+		r.finish(q, err.WithAgain(r.now.Add(againDelay)))
+		return
+	}
+	v, _ := r.tree.OfWorkspace(q.workspace)
+	if q.want > v.Burst {
+		r.finish(q, fault.NotRun(fault.TooLarge, "the request needs %d tokens; the workspace's burst is %d", q.want, v.Burst))
+		return
+	}
+	err := fault.NotRun(fault.OverLimit, "the workspace's rate of %d tokens a second is used up", v.Rate)
+	missing := time.Duration(float64(q.want-q.granted) / float64(v.Rate) * float64(time.Second))
+	r.finish(q, err.WithAgain(r.now.Add(missing)))
+}
+
+// place opens the main run at an agent.
+func (r *Router) place(q *request) {
+	stage := fleet.Plain
+	if q.generated {
+		stage = fleet.Decode
+	}
+	v, ok := r.choose(q, stage)
+	if !ok {
+		r.finish(q, r.nowhere(q, stage))
+		return
+	}
+	q.attempts++
+	q.phase = placing
+	q.prefill = target{}
+	q.main = target{
+		ref:    Ref{q.id, q.attempts, fleet.StageOf(stage)},
+		vm:     v.Name,
+		live:   true,
+		opened: r.now,
+	}
+	if q.first.IsZero() {
+		q.first = r.now
+	}
+	if !q.generated {
+		q.mayHaveRun()
+	}
+	r.loads.opened(v.Name)
+	r.trace(trace.Opened, q, v.Name, stage)
+	r.emit(OpenRun{q.main.ref, v.Name, q.openMain(r.now, r.tree.Revision())})
+}
+
+func (r *Router) nowhere(q *request, stage string) *fault.Error {
+	err := fault.NotRun(fault.Unreachable, "no %s upstream of service %s can be reached", stage, q.service)
+	return err.WithRan(q.ran).WithAgain(r.now.Add(againDelay))
+}
+
+// choose returns the agent for a stage of a request. Keyed requests go to the same
+// agent from every entry.
+func (r *Router) choose(q *request, stage string) (fleet.VM, bool) {
+	all := r.list.Upstreams(q.service, stage, q.model())
+	fit := all[:0:0]
+	for _, v := range all {
+		if !q.avoid[v.Name] {
+			fit = append(fit, v)
+		}
+	}
+	if q.keyed() {
+		return fleet.Top(fit, q.name())
+	}
+	reached := fit[:0:0]
+	for _, v := range fit {
+		if !r.now.Before(r.unreached[v.Name]) {
+			reached = append(reached, v)
+		}
+	}
+	if len(reached) > 0 {
+		return r.loads.choose(reached)
+	}
+	return r.loads.choose(fit)
+}
+
+func (r *Router) runGranted(e RunGranted) {
+	q, t := r.current(e.Ref)
+	if t == nil {
+		return
+	}
+	if t == &q.main && q.phase == placing {
+		r.trace(trace.Granted, q, t.vm, "")
+		if q.generated {
+			r.openPrefill(q)
+			return
+		}
+		q.phase = answering
+	}
+}
+
+func (r *Router) openPrefill(q *request) {
+	v, ok := r.choose(q, fleet.Prefill)
+	if !ok {
+		r.finish(q, r.nowhere(q, fleet.Prefill))
+		return
+	}
+	q.prefills++
+	q.phase = prefilling
+	q.prefill = target{
+		ref:    Ref{q.id, q.prefills, wire.Stage_STAGE_PREFILL},
+		vm:     v.Name,
+		live:   true,
+		opened: r.now,
+	}
+	r.loads.opened(v.Name)
+	r.trace(trace.Opened, q, v.Name, fleet.Prefill)
+	r.emit(OpenRun{q.prefill.ref, v.Name, q.openPrefill(r.now, r.tree.Revision())})
+}
+
+// current returns the request and the run that a reference names. A reference that
+// is out of date is stopped.
+func (r *Router) current(f Ref) (*request, *target) {
+	q := r.requests[f.ID]
+	if q == nil {
+		return nil, nil
+	}
+	t := q.target(f)
+	if t == nil || !t.live {
+		return q, nil
+	}
+	return q, t
+}
+
+func (r *Router) runHead(e RunHead) {
+	q, t := r.current(e.Ref)
+	if t == nil || q.headSent {
+		return
+	}
+	q.phase = answering
+	q.headSent = true
+	q.ran = wire.Ran_RAN_YES
+	r.emit(Head{q.id, e.Head})
+}
+
+func (r *Router) runData(e RunData) {
+	q, t := r.current(e.Ref)
+	if t == nil || t != &q.main {
+		return
+	}
+	d := e.Data
+	end := d.Offset + int64(len(d.Data))
+	if end <= q.offset {
+		return
+	}
+	if d.Offset != q.offset {
+		r.lost(q, t)
+		return
+	}
+	q.offset = end
+	q.tokens += int64(d.Tokens)
+	q.ran = wire.Ran_RAN_YES
+	r.emit(Write{q.id, d.Offset, d.Data})
+}
+
+func (r *Router) passed(e Passed) {
+	q := r.requests[e.ID]
+	if q == nil || e.Offset <= q.passed {
+		return
+	}
+	q.passed = e.Offset
+	if q.main.live {
+		r.emit(AckRun{q.main.ref, e.Offset})
+	}
+}
+
+func (r *Router) runDone(e RunDone) {
+	q, t := r.current(e.Ref)
+	switch {
+	case t == nil:
+	case t == &q.prefill:
+		r.prefillDone(q, e.Done)
+	case e.Done.Size != q.offset:
+		r.lost(q, t)
+	default:
+		q.ran = wire.Ran_RAN_YES
+		q.usage.OutputTokens = q.tokens
+		t.live = false
+		r.emit(AckRun{t.ref, q.offset})
+		r.complete(q, e.Done)
+	}
+}
+
+func (r *Router) prefillDone(q *request, d *wire.Done) {
+	q.prefill.live = false
+	q.usage.PromptTokens = d.PromptTokens
+	q.usage.CachedTokens = d.CachedTokens
+	q.fed = true
+	q.mayHaveRun()
+	q.phase = answering
+	r.emit(AckRun{q.prefill.ref, d.Size})
+	r.trace(trace.Fed, q, q.main.vm, "")
+	r.emit(FeedRun{q.main.ref, &wire.Feed{Handle: d.Handle, Source: d.Source}})
+}
+
+func (r *Router) runFailed(f Ref, err *fault.Error) {
+	q, t := r.current(f)
+	if t == nil {
+		return
+	}
+	t.live = false
+	if err.Code == fault.Unclear && !q.idempotent() {
+		r.askOutcome(q)
+		return
+	}
+	if t == &q.main && (!q.generated && err.Ran != wire.Ran_RAN_NO) {
+		q.ran = err.Ran
+	}
+	if t == &q.main && !q.generated && err.Ran == wire.Ran_RAN_NO {
+		q.ran = wire.Ran_RAN_NO
+	}
+	if !retryable(err) || (!q.idempotent() && err.Ran != wire.Ran_RAN_NO) {
+		r.finish(q, err.WithRan(q.ran))
+		return
+	}
+	q.avoid[t.vm] = true
+	r.retry(q, t, err)
+}
+
+// retryable reports whether another agent may do better.
+func retryable(err *fault.Error) bool {
+	switch err.Code {
+	case fault.BadKey, fault.BadRequest, fault.Duplicate, fault.TooLarge:
+		return false
+	}
+	return true
+}
+
+// retry runs a request, or only its prefill, at another agent.
+func (r *Router) retry(q *request, t *target, err *fault.Error) {
+	late := !r.now.Before(q.deadline)
+	spent := q.attempts >= maxAttempts || q.prefills >= 2*maxAttempts
+	answered := q.headSent && !q.generated
+	if late || spent || answered {
+		r.finish(q, err.WithRan(q.ran))
+		return
+	}
+	if t == &q.prefill && q.main.live {
+		r.openPrefill(q)
+		return
+	}
+	r.stop(&q.main)
+	r.stop(&q.prefill)
+	r.place(q)
+}
+
+func (r *Router) stop(t *target) {
+	if t.live {
+		t.live = false
+		r.emit(StopRun{t.ref})
+	}
+}
+
+func (r *Router) runLost(e RunLost) {
+	q, t := r.current(e.Ref)
+	if t == nil {
+		return
+	}
+	r.unreached[t.vm] = r.now.Add(avoidTerm)
+	r.trace(trace.Lost, q, t.vm, "")
+	if !e.Sent && t.resumes == 0 {
+		r.runFailed(e.Ref, fault.NotRun(fault.Unreachable, "the upstream's agent can't be reached"))
+		return
+	}
+	r.lost(q, t)
+}
+
+// lost resumes a run on a new stream, or gives it up.
+func (r *Router) lost(q *request, t *target) {
+	if t.resumes < maxResumes && r.now.Before(q.deadline) {
+		t.resumes++
+		r.emit(ResumeRun{t.ref, t.vm, &wire.Resume{
+			Request: q.name(),
+			Attempt: t.ref.Attempt,
+			Stage:   t.ref.Stage,
+			Offset:  q.offset,
+		}})
+		return
+	}
+	t.live = false
+	if !q.idempotent() {
+		r.askOutcome(q)
+		return
+	}
+	q.avoid[t.vm] = true
+	r.ask(q, t)
+	r.retry(q, t, fault.NotRun(fault.Unreachable, "the upstream's agent fell silent"))
+}
+
+// askOutcome asks the agent of a request that isn't idempotent whether it ran.
+func (r *Router) askOutcome(q *request) {
+	q.phase = unclear
+	q.askAgain = r.now.Add(askDelay)
+	r.ask(q, &q.main)
+}
+
+func (r *Router) ask(q *request, t *target) {
+	r.emit(AskCancel{ID: q.id, VM: t.vm, Name: q.name(), Attempt: t.ref.Attempt, Opened: t.opened})
+}
+
+func (r *Router) cancelAnswered(e CancelAnswered) {
+	q := r.requests[e.ID]
+	if q == nil || q.phase != unclear || e.VM != q.main.vm || e.Err != nil {
+		return
+	}
+	if e.Ran != wire.Ran_RAN_NO {
+		q.ran = e.Ran
+		r.finish(q, r.unknown(q))
+		return
+	}
+	q.ran = wire.Ran_RAN_NO
+	q.avoid[e.VM] = true
+	r.retry(q, &q.main, fault.NotRun(fault.Unreachable, "the upstream's agent fell silent"))
+}
+
+func (r *Router) unknown(q *request) *fault.Error {
+	if q.ran == wire.Ran_RAN_YES {
+		return fault.NotRun(fault.Unclear, "the request ran, but its answer was lost").WithRan(q.ran)
+	}
+	return fault.NotRun(fault.Unclear, "whether the request ran is not known").WithRan(q.ran)
+}
+
+func (r *Router) callerGone(id ID) {
+	q := r.requests[id]
+	if q == nil {
+		return
+	}
+	r.trace(trace.Cancelled, q, "", "the caller is gone")
+	r.end(q)
+}
+
+// complete ends a request whose answer is whole.
+func (r *Router) complete(q *request, d *wire.Done) {
+	r.trace(trace.Finished, q, "", "")
+	r.emit(Finish{ID: q.id, Usage: q.usage, Trailers: d.GetTrailers()})
+	r.end(q)
+}
+
+// finish ends a request with an error.
+func (r *Router) finish(q *request, err *fault.Error) {
+	kind := trace.Refused
+	if err.Ran != wire.Ran_RAN_NO {
+		kind = trace.Failed
+	}
+	r.trace(kind, q, "", string(err.Code))
+	r.emit(Finish{ID: q.id, Err: err, Usage: q.usage})
+	r.end(q)
+}
+
+// end frees all that a request holds.
+func (r *Router) end(q *request) {
+	r.stop(&q.main)
+	r.stop(&q.prefill)
+	r.settle(q)
+	delete(r.requests, q.id)
+}
+
+// settle gives back what a request didn't use.
+func (r *Router) settle(q *request) {
+	if q.phase == reserving && q.holder < len(q.holders) {
+		q.grants = append(q.grants, grant{q.holders[q.holder].Name, 0})
+	}
+	used := q.used()
+	for _, g := range q.grants {
+		u := min(used, g.tokens)
+		used -= u
+		r.emit(Settle{VM: g.vm, Name: q.reservation(g.vm), Workspace: q.workspace, Used: u})
+	}
+}
+
+func (r *Router) tick() {
+	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
+		q := r.requests[id]
+		switch {
+		case q.deadline.IsZero():
+		case !r.now.Before(q.deadline):
+			r.finish(q, q.tooLate())
+		case q.phase == unclear && !r.now.Before(q.askAgain):
+			r.askOutcome(q)
+		}
+	}
+	for n, until := range r.unreached {
+		if !r.now.Before(until) {
+			delete(r.unreached, n)
+		}
+	}
+}
--- /dev/null
+++ b/coord/tree/resolve.go
@@ -0,0 +1,283 @@
+package tree
+
+import (
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Resolved are the effective values of one item.
+type Resolved struct {
+	Rate          int64
+	Burst         int64
+	Weight        int64
+	Class         Class
+	Idempotent    bool
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+	Timeout       time.Duration
+	Patience      time.Duration
+	MaxBody       int64
+	MaxTokens     int64
+	Cost          int64
+}
+
+var builtIn = Resolved{
+	Rate:          1000,
+	Burst:         10000,
+	Weight:        1,
+	Class:         Interactive,
+	FirstToken:    670 * time.Millisecond,
+	BetweenTokens: 34 * time.Millisecond,
+	Timeout:       time.Minute,
+	Patience:      time.Second,
+	MaxBody:       1 << 20,
+	MaxTokens:     1024,
+	Cost:          1,
+}
+
+// BuiltIn is the level of values that no item sets.
+const BuiltIn = "built-in"
+
+// Explained is one effective value and the level that it comes from.
+type Explained struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+	From  string `json:"from"`
+}
+
+type level struct {
+	key    string
+	values Values
+}
+
+// chain returns the levels of an item, the item first and the root last.
+func (t *Tree) chain(key string) (levels []level, err error) {
+	for {
+		if slices.ContainsFunc(levels, func(l level) bool { return l.key == key }) {
+			return nil, eris.Errorf("%s: its parents form a cycle", key)
+		}
+		v, parent, ok := t.item(key)
+		if !ok {
+			return nil, eris.Errorf("%s: there is no such item", key)
+		}
+		levels = append(levels, level{key, v})
+		if key == RootKey {
+			return levels, nil
+		}
+		key = parent
+	}
+}
+
+func (t *Tree) item(key string) (v Values, parent string, ok bool) {
+	kind, name, _ := strings.Cut(key, "/")
+	switch kind + "/" {
+	case RootKey + "/":
+		return t.root.Values, "", true
+	case ServicePrefix:
+		s, ok := t.services[name]
+		return s.Values, parentOr(s.Parent, RootKey), ok
+	case WorkspacePrefix:
+		w, ok := t.workspaces[name]
+		return w.Values, parentOr(w.Parent, RootKey), ok
+	case RoutePrefix:
+		r, ok := t.routes[name]
+		return r.Values, parentOr(r.Parent, ServicePrefix+r.Service), ok
+	}
+	return Values{}, "", false
+}
+
+func parentOr(p, other string) string {
+	if p != "" {
+		return p
+	}
+	return other
+}
+
+// Explain returns each effective value of an item and where it comes from.
+func (t *Tree) Explain(key string) ([]Explained, error) {
+	levels, err := t.chain(key)
+	if err != nil {
+		return nil, err
+	}
+	_, x := resolve(levels)
+	return x, nil
+}
+
+func resolve(levels []level) (r Resolved, x []Explained) {
+	r = builtIn
+	out := reflect.ValueOf(&r).Elem()
+	kind := reflect.TypeFor[Values]()
+	for i := range kind.NumField() {
+		f := kind.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		from := BuiltIn
+		o := out.FieldByName(f.Name)
+		for _, l := range levels {
+			p := reflect.ValueOf(l.values).Field(i)
+			if !p.IsNil() {
+				o.Set(p.Elem())
+				from = l.key
+				break
+			}
+		}
+		x = append(x, Explained{Name: name, Value: fmt.Sprint(o.Interface()), From: from})
+	}
+	return r, x
+}
+
+// OfRoute returns the effective values of a route.
+func (t *Tree) OfRoute(name string) (Resolved, bool) {
+	r, ok := t.resolved[RoutePrefix+name]
+	return r, ok
+}
+
+// OfWorkspace returns the effective values of a workspace.
+func (t *Tree) OfWorkspace(name string) (Resolved, bool) {
+	r, ok := t.resolved[WorkspacePrefix+name]
+	return r, ok
+}
+
+// RouteWorkspace returns the workspace that a route belongs to, if any.
+func (t *Tree) RouteWorkspace(name string) (string, bool) {
+	levels, err := t.chain(RoutePrefix + name)
+	if err != nil {
+		return "", false
+	}
+	for _, l := range levels {
+		if w, ok := strings.CutPrefix(l.key, WorkspacePrefix); ok {
+			return w, true
+		}
+	}
+	return "", false
+}
+
+// index checks the tree and builds its look-up tables.
+func (t *Tree) index() error {
+	t.byHash = map[string]string{}
+	t.byKeyID = map[string]string{}
+	t.byModel = map[string]string{}
+	t.resolved = make(map[string]Resolved, len(t.workspaces)+len(t.routes))
+	for _, n := range slices.Sorted(maps.Keys(t.services)) {
+		if err := t.checkService(n); err != nil {
+			return err
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(t.workspaces)) {
+		if err := t.indexWorkspace(n); err != nil {
+			return err
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(t.routes)) {
+		if err := t.indexRoute(n); err != nil {
+			return err
+		}
+	}
+	slices.SortFunc(t.plain, func(a, b string) int {
+		return len(t.routes[b].Path) - len(t.routes[a].Path)
+	})
+	return nil
+}
+
+func (t *Tree) checkService(name string) error {
+	key := ServicePrefix + name
+	k := t.services[name].Kind
+	if k != Generate && k != Plain {
+		return eris.Errorf("%s: kind is %q; %s or %s would be right", key, k, Generate, Plain)
+	}
+	return t.index1(key)
+}
+
+func (t *Tree) indexWorkspace(name string) error {
+	key := WorkspacePrefix + name
+	for _, h := range t.workspaces[name].Keys {
+		if b, err := hex.DecodeString(h); err != nil || len(b) != 32 || strings.ToLower(h) != h {
+			return eris.Errorf("%s: keys: a SHA-256 hash in 64 lower-case hex digits would be right", key)
+		}
+		if other, ok := t.byHash[h]; ok {
+			return eris.Errorf("%s: keys: hash %s… is also a key of %s%s", key, h[:KeyIDSize], WorkspacePrefix, other)
+		}
+		id := h[:KeyIDSize]
+		if other, ok := t.byKeyID[id]; ok {
+			return eris.Errorf("%s: keys: id %s is also that of a key of %s%s", key, id, WorkspacePrefix, other)
+		}
+		t.byHash[h] = name
+		t.byKeyID[id] = name
+	}
+	return t.index1(key)
+}
+
+func (t *Tree) indexRoute(name string) error {
+	key := RoutePrefix + name
+	r := t.routes[name]
+	s, ok := t.services[r.Service]
+	if !ok {
+		return eris.Errorf("%s: service %q is not in the tree", key, r.Service)
+	}
+	if s.Kind == Generate {
+		if r.Model == "" {
+			return eris.Errorf("%s: model is empty; a route of a %s service needs one", key, Generate)
+		}
+		if other, ok := t.byModel[r.Model]; ok {
+			return eris.Errorf("%s: model %q is also that of %s%s", key, r.Model, RoutePrefix, other)
+		}
+		t.byModel[r.Model] = name
+		return t.index1(key)
+	}
+	if !strings.HasPrefix(r.Path, "/") {
+		return eris.Errorf("%s: path is %q; a path that starts with / would be right", key, r.Path)
+	}
+	for _, o := range t.plain {
+		if t.routes[o].Path == r.Path {
+			return eris.Errorf("%s: path %q is also that of %s%s", key, r.Path, RoutePrefix, o)
+		}
+	}
+	t.plain = append(t.plain, name)
+	return t.index1(key)
+}
+
+func (t *Tree) index1(key string) error {
+	levels, err := t.chain(key)
+	if err != nil {
+		return err
+	}
+	r, _ := resolve(levels)
+	if err := r.check(); err != nil {
+		return eris.Wrap(err, key)
+	}
+	t.resolved[key] = r
+	return nil
+}
+
+func (r Resolved) check() error {
+	positive := []struct {
+		name  string
+		value int64
+	}{
+		{"rate", r.Rate},
+		{"burst", r.Burst},
+		{"weight", r.Weight},
+		{"first-token", int64(r.FirstToken)},
+		{"between-tokens", int64(r.BetweenTokens)},
+		{"timeout", int64(r.Timeout)},
+		{"patience", int64(r.Patience)},
+		{"max-body", r.MaxBody},
+		{"max-tokens", r.MaxTokens},
+		{"cost", r.Cost},
+	}
+	for _, p := range positive {
+		if p.value <= 0 {
+			return eris.Errorf("%s is %d; a value above 0 would be right", p.name, p.value)
+		}
+	}
+	if r.Class != Interactive && r.Class != Batch {
+		return eris.Errorf("class is %q; %s or %s would be right", r.Class, Interactive, Batch)
+	}
+	return nil
+}
--- /dev/null
+++ b/coord/worker/event.go
@@ -0,0 +1,181 @@
+package worker
+
+import (
+	"fmt"
+	"time"
+
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/trace"
+	"cranberrypoint.example/coord/tree"
+	"cranberrypoint.example/coord/wire"
+)
+
+// StreamID names one stream from an entry. 0 is none.
+type StreamID uint64
+
+// RunID names one run of a request at this agent.
+type RunID struct {
+	Request string
+	Attempt uint32
+	Stage   wire.Stage
+}
+
+// String returns the name under which the upstream knows the run.
+func (r RunID) String() string {
+	return fmt.Sprintf("%s.%d.%s", r.Request, r.Attempt, fleet.StageName(r.Stage))
+}
+
+// Event is an input of the reducer.
+type Event interface{ event() }
+
+// Opened is the first message of a stream that starts a run.
+type Opened struct {
+	Stream StreamID
+	Open   *wire.Open
+}
+
+// Reopened is the first message of a stream that resumes a run.
+type Reopened struct {
+	Stream StreamID
+	Resume *wire.Resume
+}
+
+// Fed names the KV cache that a granted decode run imports.
+type Fed struct {
+	Stream StreamID
+	Feed   *wire.Feed
+}
+
+// Acked says that the entry passed on all data below Offset bytes.
+type Acked struct {
+	Stream StreamID
+	Offset int64
+}
+
+// Beat is a heartbeat of a stream.
+type Beat struct{ Stream StreamID }
+
+// Stopped ends a run because its caller is gone.
+type Stopped struct{ Stream StreamID }
+
+// Closed says that a stream has ended.
+type Closed struct{ Stream StreamID }
+
+// CancelAsked asks to end a request and to tell whether it ran.
+type CancelAsked struct {
+	// Ask names the question in the effect that answers it.
+	Ask     uint64
+	Request string
+	Attempt uint32
+	// Opened is the time at which the entry sent the first attempt.
+	Opened time.Time
+}
+
+// CallHead is the status and the headers of a plain call.
+type CallHead struct {
+	Run  RunID
+	Head *wire.Head
+}
+
+// CallData is a part of an answer.
+type CallData struct {
+	Run    RunID
+	Data   []byte
+	Tokens int32
+}
+
+// CallDone is the end of a call that succeeded.
+type CallDone struct {
+	Run  RunID
+	Done *wire.Done
+}
+
+// CallFailed is the end of a call that failed.
+type CallFailed struct {
+	Run RunID
+	Err *fault.Error
+}
+
+// HeldListed lists the runs that the engine holds memory for.
+type HeldListed struct{ Names []string }
+
+// Ticked lets time pass.
+type Ticked struct{}
+
+// Configured brings a new settings tree and the state of this VM.
+type Configured struct {
+	Tree    *tree.Tree
+	Leaving bool
+}
+
+// Drained tells the agent to take no new work.
+type Drained struct{}
+
+func (Opened) event()      {}
+func (Reopened) event()    {}
+func (Fed) event()         {}
+func (Acked) event()       {}
+func (Beat) event()        {}
+func (Stopped) event()     {}
+func (Closed) event()      {}
+func (CancelAsked) event() {}
+func (CallHead) event()    {}
+func (CallData) event()    {}
+func (CallDone) event()    {}
+func (CallFailed) event()  {}
+func (HeldListed) event()  {}
+func (Ticked) event()      {}
+func (Configured) event()  {}
+func (Drained) event()     {}
+
+// Effect is an output of the reducer.
+type Effect interface{ effect() }
+
+// Send passes a reply to a stream.
+type Send struct {
+	Stream StreamID
+	Reply  *wire.RunReply
+}
+
+// Close ends a stream.
+type Close struct{ Stream StreamID }
+
+// StartCall calls the upstream for a run.
+type StartCall struct {
+	Run  RunID
+	Open *wire.Open
+	Feed *wire.Feed
+	// Until is the time at which the call is given up.
+	Until time.Time
+}
+
+// AbortCall stops a call and frees what the upstream holds for it.
+type AbortCall struct{ Run RunID }
+
+// FreeHeld frees what the engine holds under a name.
+type FreeHeld struct{ Name string }
+
+// Throttle stops or goes on reading a call's answer.
+type Throttle struct {
+	Run RunID
+	On  bool
+}
+
+// AnswerCancel answers a CancelAsked event.
+type AnswerCancel struct {
+	Ask uint64
+	Ran wire.Ran
+}
+
+// Trace adds an event to the time line.
+type Trace struct{ Event trace.Event }
+
+func (Send) effect()         {}
+func (Close) effect()        {}
+func (StartCall) effect()    {}
+func (AbortCall) effect()    {}
+func (FreeHeld) effect()     {}
+func (Throttle) effect()     {}
+func (AnswerCancel) effect() {}
+func (Trace) effect()        {}
--- /dev/null
+++ b/local/stand/service.go
@@ -0,0 +1,78 @@
+package stand
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Service is a plain service that counts each effect by request id. The query values
+// delay and status of a call set how long it takes and what it answers.
+type Service struct {
+	mu      sync.Mutex
+	effects map[string]int
+	seen    []http.Header
+	urls    []string
+}
+
+// NewService returns a service without effects.
+func NewService() *Service {
+	return &Service{effects: map[string]int{}}
+}
+
+// Effects returns how often each request id had its effect.
+func (s *Service) Effects() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := map[string]int{}
+	for k, v := range s.effects {
+		c[k] = v
+	}
+	return c
+}
+
+// Seen returns the headers, trailers and URLs of all calls.
+func (s *Service) Seen() ([]http.Header, []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]http.Header{}, s.seen...), append([]string{}, s.urls...)
+}
+
+// Handler returns the HTTP interface of the service.
+func (s *Service) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/control/effects", func(w http.ResponseWriter, _ *http.Request) {
+		for k, v := range s.Effects() {
+			_, _ = fmt.Fprintln(w, k, v)
+		}
+	})
+	m.PathPrefix("/").HandlerFunc(s.serve)
+	return m
+}
+
+func (s *Service) serve(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("X-Request-Id")
+	s.mu.Lock()
+	s.effects[id]++
+	s.seen = append(s.seen, q.Header.Clone())
+	s.urls = append(s.urls, q.URL.String())
+	s.mu.Unlock()
+	if d, err := time.ParseDuration(q.URL.Query().Get("delay")); err == nil {
+		time.Sleep(d)
+	}
+	b, _ := io.ReadAll(q.Body)
+	w.Header().Set("X-Service", "plain")
+	w.Header().Set("Trailer", "X-Count")
+	if q.URL.Query().Get("status") != "" {
+		var code int
+		_, _ = fmt.Sscan(q.URL.Query().Get("status"), &code)
+		w.WriteHeader(code)
+	}
+	_, _ = fmt.Fprintf(w, "%s %s\n", q.Method, q.URL.Path)
+	_, _ = w.Write(b)
+	w.Header().Set("X-Count", fmt.Sprint(len(b)))
+}
