quota: shares of a limit with an authority that lapses

Cause: holders earned without asking anyone. A list change seen at different times, or a holder cut off with an entry, gave a workspace two shares at once.

Also tried: refusing at once by the holders' last balances after a wait in vain ("hurry").

Change: a holder acts while more than half of its data centre's VMs confirmed within a term that they know no newer list; a new holder earns once earlier lists are sealed (quota.Authority). The reserver puts a reservation together from several holders, the fullest first, and waits in order of arrival where the tokens refill in time. Settlement is idempotent by name, also before the reservation arrives.

--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/coord/quota"
+	"cranberrypoint.example/coord/spread"
 	"cranberrypoint.example/coord/tasks"
 	"cranberrypoint.example/coord/trace"
 	"cranberrypoint.example/coord/tree"
@@ -30,8 +32,6 @@
 	// sweepPeriod is the time between two comparisons with what the engine holds.
 	sweepPeriod  = time.Second
 	sweepTimeout = 2 * time.Second
-	// farFuture is an authority that doesn't end.
-	farFuture = 100 * 365 * 24 * time.Hour
 )
 
 // Host is a running agent.
@@ -117,12 +117,11 @@
 		calls:    map[worker.RunID]*call{},
 		answers:  map[uint64]chan wire.Ran{},
 	}
-	h.holder.Authorize(now, now.Add(farFuture))
 	h.trace.Add(now, trace.Event{Kind: trace.Incarnated})
 	pool, closePool := link.NewPool(sec)
 	id := feed.Identity{VM: s.VM, DataCentre: s.DataCentre, Incarnation: incarnation}
 	var stopFeed func()
-	h.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), pool, l, h.adopt)
+	h.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), pool, l, h.adopt, h.allow)
 	h.metrics.watchFeed(&h.feed.Counts)
 	stopOps := opsrv.Serve(ops, h.metrics.registry, h.trace, h.Status)
 	h.tasks.Go(func() { _ = link.Serve(ctx, lis, sec, h.feed, h) })
@@ -194,6 +193,18 @@
 	h.step(worker.Configured{Tree: t, Leaving: v.State == fleet.Leaving})
 }
 
+// allow renews the authority to hold shares.
+func (h *Host) allow(a spread.Authorized) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.holder.Authorized(now) {
+		h.trace.Add(now, trace.Event{Kind: trace.Authority, Detail: fmt.Sprintf("until %s, sealed %d", a.Until.UTC().Format(time.RFC3339), a.Sealed)})
+	}
+	h.holder.Authorize(now, a.Until)
+	h.holder.Seal(now, a.Sealed)
+}
+
 func (h *Host) tick() {
 	t := time.NewTicker(tickPeriod)
 	defer t.Stop()
--- a/coord/feed/feed.go
+++ b/coord/feed/feed.go
@@ -34,7 +34,9 @@
 	Key      string `json:"key"`
 	Value    string `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
-	Deleted  bool   `json:"deleted,omitempty"`
+	// Created is the revision at which the key was made.
+	Created uint64 `json:"created"`
+	Deleted bool   `json:"deleted,omitempty"`
 }
 
 // Page is an answer of the platform.
@@ -62,6 +64,7 @@
 	pool     *link.Pool
 	log      logrus.FieldLogger
 	adopt    func(*tree.Tree, *fleet.List)
+	allow    func(spread.Authorized)
 	client   *http.Client
 
 	mu      sync.Mutex
@@ -80,14 +83,16 @@
 }
 
 // New starts a feed and returns it with a function that stops it. Adopt is called for
-// each new tree or list, never twice at a time.
-func New(id Identity, platform string, seeds []string, p *link.Pool, l logrus.FieldLogger, adopt func(*tree.Tree, *fleet.List)) (f *Feed, stop func()) {
+// each new tree or list, never twice at a time; allow, if not nil, for each change of the
+// authority to hold shares.
+func New(id Identity, platform string, seeds []string, p *link.Pool, l logrus.FieldLogger, adopt func(*tree.Tree, *fleet.List), allow func(spread.Authorized)) (f *Feed, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f = &Feed{
 		platform: platform,
 		pool:     p,
 		log:      l,
 		adopt:    adopt,
+		allow:    allow,
 		client:   &http.Client{Timeout: readTimeout},
 		spread:   spread.New(time.Now(), id.VM, id.DataCentre, id.Incarnation, seeds),
 		answers:  map[uint64]chan *wire.Digest{},
@@ -153,6 +158,10 @@
 	case spread.Adopt:
 		f.Counts.Adopted.Add(1)
 		f.adopt(x.Tree, x.List)
+	case spread.Authorized:
+		if f.allow != nil {
+			f.allow(x)
+		}
 	case spread.Reject:
 		f.Counts.Rejected.Add(1)
 		f.log.WithError(x.Err).Warn("settings refused; the last good ones stay in force")
@@ -167,7 +176,7 @@
 	}
 	e = spread.ReadAnswered{Revision: p.Revision, More: p.More}
 	for _, i := range p.Items {
-		e.Changes = append(e.Changes, &wire.Change{Key: i.Key, Value: []byte(i.Value), Revision: i.Revision, Deleted: i.Deleted})
+		e.Changes = append(e.Changes, &wire.Change{Key: i.Key, Value: []byte(i.Value), Revision: i.Revision, Created: i.Created, Deleted: i.Deleted})
 	}
 	return e
 }
@@ -200,7 +209,7 @@
 	if err != nil {
 		d = nil
 	}
-	f.step(spread.Answered{Address: x.Address, Digest: d})
+	f.step(spread.Answered{Address: x.Address, Digest: d, At: x.At})
 }
 
 // Exchange answers a peer.
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -43,6 +43,15 @@
 	Stage   string `json:"stage,omitempty"`
 	Model   string `json:"model,omitempty"`
 	State   State  `json:"state"`
+	// Created is the revision at which the platform first listed the VM.
+	Created uint64 `json:"-"`
+}
+
+// Gone is a VM that the platform no longer lists.
+type Gone struct {
+	VM
+	// Removed is the revision of its removal.
+	Removed uint64
 }
 
 // Stages of upstreams in the list.
@@ -96,6 +105,7 @@
 type List struct {
 	revision uint64
 	vms      []VM
+	gone     []Gone
 	byName   map[string]VM
 }
 
@@ -109,6 +119,44 @@
 	return l
 }
 
+// WithGone returns a copy of the list that also knows VMs of the past.
+func (l *List) WithGone(gone []Gone) *List {
+	c := *l
+	c.gone = slices.Clone(gone)
+	return &c
+}
+
+// Gone returns the VMs of a data centre that are no longer listed. One whose data
+// centre is not known counts for all.
+func (l *List) Gone(dataCentre string) []Gone {
+	var r []Gone
+	for _, g := range l.gone {
+		if g.DataCentre == dataCentre || g.DataCentre == "" {
+			r = append(r, g)
+		}
+	}
+	return r
+}
+
+// Members returns the VMs of a data centre.
+func (l *List) Members(dataCentre string) []VM {
+	return l.All(func(v VM) bool { return v.DataCentre == dataCentre })
+}
+
+// Epoch returns the revision at which a data centre last gained or lost a VM.
+func (l *List) Epoch(dataCentre string) uint64 {
+	var e uint64
+	for _, v := range l.vms {
+		if v.DataCentre == dataCentre {
+			e = max(e, v.Created)
+		}
+	}
+	for _, g := range l.Gone(dataCentre) {
+		e = max(e, g.Removed)
+	}
+	return e
+}
+
 // Revision returns the revision of the newest change in the list.
 func (l *List) Revision() uint64 { return l.revision }
 
--- a/coord/quota/holder.go
+++ b/coord/quota/holder.go
@@ -9,6 +9,8 @@
 
 import (
 	"time"
+
+	"cranberrypoint.example/coord/assert"
 )
 
 // micro is the number of inner units in a token.
@@ -38,6 +40,8 @@
 	terms   Terms
 	balance int64
 	at      time.Time
+	// epoch is the one that must be sealed before the share earns; 0 once it does.
+	epoch uint64
 }
 
 type reservation struct {
@@ -52,6 +56,8 @@
 	shares       map[string]*share
 	reservations map[string]*reservation
 	authority    time.Time
+	sealed       uint64
+	epoch        uint64
 	issued       int64
 }
 
@@ -77,11 +83,15 @@
 	}
 }
 
-// Hold sets the terms of a workspace's share. A new share starts empty.
-func (h *Holder) Hold(now time.Time, workspace string, t Terms) {
+// Authorized reports whether the holder may earn and grant.
+func (h *Holder) Authorized(now time.Time) bool { return before(now, h.authority) }
+
+// Hold sets the terms of a workspace's share. A new share starts empty and earns once
+// the epoch is sealed.
+func (h *Holder) Hold(now time.Time, workspace string, t Terms, epoch uint64) {
 	s := h.shares[workspace]
 	if s == nil {
-		s = &share{at: now}
+		s = &share{at: now, epoch: epoch}
 		h.shares[workspace] = s
 	}
 	h.earn(s, now)
@@ -89,6 +99,20 @@
 	s.balance = min(s.balance, t.Burst)
 }
 
+// Seal lets shares earn from now on whose epoch is sealed.
+func (h *Holder) Seal(now time.Time, epoch uint64) {
+	if epoch <= h.sealed {
+		return
+	}
+	h.sealed = epoch
+	for _, s := range h.shares {
+		if s.epoch != 0 && s.epoch <= epoch {
+			s.epoch = 0
+			s.at = now
+		}
+	}
+}
+
 // Drop gives up a workspace's share.
 func (h *Holder) Drop(workspace string) {
 	delete(h.shares, workspace)
@@ -103,13 +127,15 @@
 	if h.authority.Before(until) {
 		until = h.authority
 	}
-	if d := until.Sub(s.at); d > 0 {
+	if d := until.Sub(s.at); d > 0 && s.epoch == 0 {
 		full := s.terms.Burst - s.balance
 		s.balance += min(full, earned(s.terms.Rate, d))
 	}
 	if now.After(s.at) {
 		s.at = now
 	}
+	assert.That(s.balance >= 0 && s.balance <= max(s.terms.Burst, 0),
+		"balance %d of a share with burst %d", s.balance, s.terms.Burst)
 }
 
 // earned returns rate times d without overflow.
@@ -135,7 +161,7 @@
 // again. With partial, what there is is taken when it is less than asked for.
 func (h *Holder) Reserve(now time.Time, name, workspace string, tokens int64, partial bool) Answer {
 	s := h.shares[workspace]
-	if s == nil || !now.Before(h.authority) {
+	if s == nil || s.epoch != 0 || !before(now, h.authority) {
 		return Answer{}
 	}
 	h.earn(s, now)
--- a/coord/quota/owned.go
+++ b/coord/quota/owned.go
@@ -8,24 +8,68 @@
 )
 
 // Rebase sets the holder's shares to those that settings and a list give to the VM. A
-// share that is new starts empty; one that went elsewhere is dropped.
+// share that was held all along goes on; a new one waits until the list's epoch is
+// sealed; one that went elsewhere is dropped.
 func (h *Holder) Rebase(now time.Time, t *tree.Tree, l *fleet.List, vm, dataCentre string) {
-	n := len(t.DataCentres())
+	epoch := l.Epoch(dataCentre)
+	if epoch < h.epoch {
+		return
+	}
 	agents := l.All(func(v fleet.VM) bool {
 		return v.Role == fleet.Agent && v.DataCentre == dataCentre
 	})
+	between := h.passed(l, vm, dataCentre)
+	n := len(t.DataCentres())
 	for _, w := range t.WorkspaceNames() {
 		top, ok := fleet.Top(agents, w)
 		if !ok || top.Name != vm {
 			h.Drop(w)
 			continue
 		}
+		if outranked(between, vm, w) {
+			h.Drop(w)
+		}
 		v, _ := t.OfWorkspace(w)
-		h.Hold(now, w, ShareOf(v.Rate, v.Burst, n))
+		h.Hold(now, w, ShareOf(v.Rate, v.Burst, n), h.needs(epoch))
 	}
 	for w := range h.shares {
 		if _, ok := t.OfWorkspace(w); !ok {
 			h.Drop(w)
 		}
 	}
+	h.epoch = epoch
+}
+
+// needs returns the epoch that a new share waits for, or 0 when it is sealed.
+func (h *Holder) needs(epoch uint64) uint64 {
+	if epoch <= h.sealed {
+		return 0
+	}
+	return epoch
+}
+
+// passed returns the VMs that came after the holder's last epoch and are gone again,
+// and the VM itself if it was listed anew: they may have held a share in between.
+func (h *Holder) passed(l *fleet.List, vm, dataCentre string) []fleet.VM {
+	var r []fleet.VM
+	for _, g := range l.Gone(dataCentre) {
+		if g.Created > h.epoch || g.Name == vm {
+			r = append(r, g.VM)
+		}
+	}
+	if v, ok := l.VM(vm); ok && v.Created > h.epoch {
+		r = append(r, v)
+	}
+	return r
+}
+
+// outranked reports whether one of some VMs could have held a share before vm.
+func outranked(vms []fleet.VM, vm, workspace string) bool {
+	own := fleet.Score(vm, workspace)
+	for _, v := range vms {
+		if fleet.Score(v.Name, workspace) >= own {
+			return true
+		}
+	}
+	return false
 }
--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -1,11 +1,10 @@
 package router
 
 import (
-	"fmt"
 	"time"
 
 	"cranberrypoint.example/coord/fault"
-	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/quota"
 	"cranberrypoint.example/coord/tree"
 	"cranberrypoint.example/coord/wire"
 )
@@ -25,11 +24,6 @@
 	unclear
 )
 
-type grant struct {
-	vm     string
-	tokens int64
-}
-
 // target is one run of a request and the agent that has it.
 type target struct {
 	ref Ref
@@ -54,14 +48,7 @@
 	startBy   time.Time
 	deadline  time.Time
 
-	holders []fleet.VM
-	holder  int
-	want    int64
-	granted int64
-	grants  []grant
-	wait    time.Duration
-	reached bool
-
+	parts    []quota.Part
 	main     target
 	prefill  target
 	first    time.Time
@@ -82,11 +69,6 @@
 
 func (r *request) name() string { return r.call.Name }
 
-// reservation is the name under which holders know the request's tokens.
-func (r *request) reservation(vm string) string {
-	return fmt.Sprintf("%s/%d@%s", r.call.Name, r.id, vm)
-}
-
 // idempotent reports whether the request may run more than once.
 func (r *request) idempotent() bool { return r.generated || r.values.Idempotent }
 
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -37,10 +37,13 @@
 
 // Router is the state of an entry. Use New.
 type Router struct {
+	vm         string
+	seed       uint64
 	dataCentre string
 	tree       *tree.Tree
 	list       *fleet.List
 	loads      loads
+	reserver   *quota.Reserver
 	requests   map[ID]*request
 	unreached  map[string]time.Time
 	draining   bool
@@ -51,12 +54,15 @@
 // Option changes a default.
 type Option func(*Router)
 
-// WithDataCentre names the data centre of the entry.
-func WithDataCentre(n string) Option { return func(r *Router) { r.dataCentre = n } }
+// WithVM names the VM of the entry and its data centre.
+func WithVM(vm, dataCentre string) Option {
+	return func(r *Router) { r.vm, r.dataCentre = vm, dataCentre }
+}
 
 // New returns the state of an entry. The seed drives the choice of upstreams.
 func New(seed uint64, opts ...Option) *Router {
 	r := &Router{
+		seed:      seed,
 		tree:      tree.Empty(),
 		list:      fleet.NewList(0, nil),
 		loads:     newLoads(seed),
@@ -66,6 +72,7 @@
 	for _, o := range opts {
 		o(r)
 	}
+	r.reserver = quota.NewReserver(r.dataCentre)
 	return r
 }
 
@@ -140,6 +147,7 @@
 		r.list = e.List
 		r.loads.keep(e.List)
 	}
+	r.reserver.Configure(r.tree, r.list)
 }
 
 func (r *Router) arrived(e Arrived) {
@@ -156,9 +164,13 @@
 		return
 	}
 	q.phase = reserving
-	q.want = q.cost()
-	q.holders = quota.Holders(r.tree, r.list, r.dataCentre, q.workspace)
-	r.reserveNext(q)
+	r.reserve(r.reserver.Begin(r.now, quota.Want{
+		ID:        uint64(q.id),
+		Name:      fmt.Sprintf("%s/%x/%d", r.vm, r.seed, q.id),
+		Workspace: q.workspace,
+		Tokens:    q.cost(),
+		Until:     q.startBy,
+	}))
 }
 
 // admit resolves the key, the route and the values of a request.
@@ -201,6 +213,9 @@
 			q.call.MaxTokens = q.values.MaxTokens
 		}
 	}
+	if v, ok := r.tree.OfWorkspace(q.workspace); ok && q.cost() > v.Burst {
+		return fault.NotRun(fault.TooLarge, "the request needs %d tokens; the workspace's burst is %d", q.cost(), v.Burst)
+	}
 	return nil
 }
 
@@ -210,51 +225,44 @@
 	return "k-" + hex.EncodeToString(h[:12])
 }
 
-// reserveNext asks the next holder for what is still missing.
-func (r *Router) reserveNext(q *request) {
-	if q.granted >= q.want {
-		r.trace(trace.Reserved, q, "", fmt.Sprint(q.granted))
-		r.place(q)
-		return
-	}
-	if q.holder == len(q.holders) {
-		r.overLimit(q)
-		return
+// reserve carries out what the reserver wants.
+func (r *Router) reserve(effects []quota.Effect) {
+	for _, x := range effects {
+		switch x := x.(type) {
+		case quota.Ask:
+			r.emit(Reserve{ID: ID(x.ID), VM: x.VM, Name: x.Name, Workspace: x.Workspace, Tokens: x.Tokens})
+		case quota.GiveBack:
+			r.emit(Settle{VM: x.VM, Name: x.Name, Workspace: x.Workspace})
+		case quota.Ready:
+			q := r.requests[ID(x.ID)]
+			q.parts = x.Parts
+			r.trace(trace.Reserved, q, "", fmt.Sprint(q.cost()))
+			r.place(q)
+		case quota.Refuse:
+			r.overLimit(r.requests[ID(x.ID)], x)
+		}
 	}
-	v := q.holders[q.holder]
-	r.emit(Reserve{ID: q.id, VM: v.Name, Name: q.reservation(v.Name), Workspace: q.workspace, Tokens: q.want - q.granted})
 }
 
 func (r *Router) tokensAnswered(e TokensAnswered) {
-	q := r.requests[e.ID]
-	if q == nil || q.phase != reserving || q.holders[q.holder].Name != e.VM {
-		return
-	}
-	q.holder++
-	// A holder that did not answer may have granted: it is settled like the others.
-	q.grants = append(q.grants, grant{e.VM, e.Reply.GetGranted()})
-	q.granted += e.Reply.GetGranted()
-	q.reached = q.reached || e.Reply.GetHolder()
-	if w := time.Duration(e.Reply.GetWaitMicros()) * time.Microsecond; w > 0 && (q.wait == 0 || w < q.wait) {
-		q.wait = w
+	var a *quota.Answer
+	if e.Err == nil {
+		a = &quota.Answer{
+			Granted: e.Reply.GetGranted(),
+			Balance: e.Reply.GetBalance(),
+			Holder:  e.Reply.GetHolder(),
+		}
 	}
-	r.reserveNext(q)
+	r.reserve(r.reserver.Answered(r.now, uint64(e.ID), e.VM, a))
 }
 
-func (r *Router) overLimit(q *request) {
-	if !q.reached {
-		err := fault.NotRun(fault.NotReady, "no holder of the workspace's limit could be reached")
-		r.finish(q, err.WithAgain(r.now.Add(againDelay)))
+func (r *Router) overLimit(q *request, x quota.Refuse) {
+	if !x.Reached {
+		r.finish(q, fault.NotRun(fault.NotReady, "no holder of the workspace's limit could be reached").WithAgain(x.Again))
 		return
 	}
 	v, _ := r.tree.OfWorkspace(q.workspace)
-	if q.want > v.Burst {
-		r.finish(q, fault.NotRun(fault.TooLarge, "the request needs %d tokens; the workspace's burst is %d", q.want, v.Burst))
-		return
-	}
-	err := fault.NotRun(fault.OverLimit, "the workspace's rate of %d tokens a second is used up", v.Rate)
-	missing := time.Duration(float64(q.want-q.granted) / float64(v.Rate) * float64(time.Second))
-	r.finish(q, err.WithAgain(r.now.Add(missing)))
+	r.finish(q, fault.NotRun(fault.OverLimit, "the workspace's rate of %d tokens a second is used up", v.Rate).WithAgain(x.Again))
 }
 
 // place opens the main run at an agent.
@@ -601,18 +609,17 @@
 
 // settle gives back what a request didn't use.
 func (r *Router) settle(q *request) {
-	if q.phase == reserving && q.holder < len(q.holders) {
-		q.grants = append(q.grants, grant{q.holders[q.holder].Name, 0})
-	}
+	r.reserve(r.reserver.Cancel(r.now, uint64(q.id)))
 	used := q.used()
-	for _, g := range q.grants {
-		u := min(used, g.tokens)
+	for _, p := range q.parts {
+		u := min(used, p.Tokens)
 		used -= u
-		r.emit(Settle{VM: g.vm, Name: q.reservation(g.vm), Workspace: q.workspace, Used: u})
+		r.emit(Settle{VM: p.VM, Name: p.Name, Workspace: q.workspace, Used: u})
 	}
 }
 
 func (r *Router) tick() {
+	r.reserve(r.reserver.Tick(r.now))
 	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
 		q := r.requests[id]
 		switch {
--- a/coord/spread/spread.go
+++ b/coord/spread/spread.go
@@ -10,11 +10,13 @@
 package spread
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/quota"
 	"cranberrypoint.example/coord/tree"
 	"cranberrypoint.example/coord/wire"
 )
@@ -71,6 +73,7 @@
 type Answered struct {
 	Address string
 	Digest  *wire.Digest
+	At      time.Time
 }
 
 func (Ticked) event()       {}
@@ -92,6 +95,15 @@
 type Exchange struct {
 	Address string
 	Digest  *wire.Digest
+	// At is the time of the question, which comes back in Answered.
+	At time.Time
+}
+
+// Authorized says until when the VM may act on the list it adopted, and before which
+// epoch nobody acts any more.
+type Authorized struct {
+	Until  time.Time
+	Sealed uint64
 }
 
 // Answer answers an Asked event.
@@ -109,11 +121,12 @@
 // Reject says that the newest settings don't check and the last good ones stay.
 type Reject struct{ Err error }
 
-func (Read) effect()     {}
-func (Exchange) effect() {}
-func (Answer) effect()   {}
-func (Adopt) effect()    {}
-func (Reject) effect()   {}
+func (Read) effect()       {}
+func (Exchange) effect()   {}
+func (Answer) effect()     {}
+func (Adopt) effect()      {}
+func (Reject) effect()     {}
+func (Authorized) effect() {}
 
 // Spread is the state of one process. Use New.
 type Spread struct {
@@ -129,14 +142,26 @@
 	readDue     time.Time
 	compareDue  time.Time
 	heard       map[string]bool
+	authority   *quota.Authority
+	authorized  Authorized
+	term        time.Duration
+	margin      time.Duration
 	now         time.Time
 	effects     []Effect
 }
 
+// Option changes a default.
+type Option func(*Spread)
+
+// WithTerm sets how long a confirmation counts and the margin for drift.
+func WithTerm(term, margin time.Duration) Option {
+	return func(s *Spread) { s.term, s.margin = term, margin }
+}
+
 // New returns the state of a process that starts at now. Seeds are the addresses of
 // peers to ask before a list is known.
-func New(now time.Time, vm, dataCentre string, incarnation uint64, seeds []string) *Spread {
-	return &Spread{
+func New(now time.Time, vm, dataCentre string, incarnation uint64, seeds []string, opts ...Option) *Spread {
+	s := &Spread{
 		vm:          vm,
 		dataCentre:  dataCentre,
 		incarnation: incarnation,
@@ -145,7 +170,14 @@
 		rand:        rand.New(rand.NewPCG(incarnation, fleet.Score(vm, dataCentre))),
 		born:        now,
 		heard:       map[string]bool{},
+		term:        quota.DefaultTerm,
+		margin:      quota.DefaultMargin,
+	}
+	for _, o := range opts {
+		o(s)
 	}
+	s.authority = quota.NewAuthority(vm, dataCentre, s.term, s.margin)
+	return s
 }
 
 // Revision returns the newest revision that the process knows.
@@ -174,13 +206,27 @@
 	case Answered:
 		s.answered(e)
 	}
+	s.authorize()
 	return s.effects
 }
 
+// authorize tells the deadline and the sealed epoch when they have changed.
+func (s *Spread) authorize() {
+	a := Authorized{s.authority.Deadline(), s.authority.Sealed()}
+	if a != s.authorized {
+		s.authorized = a
+		s.emit(a)
+	}
+}
+
 func (s *Spread) emit(e Effect) { s.effects = append(s.effects, e) }
 
 func (s *Spread) tick() {
 	s.read()
+	s.authority.Tick(s.now)
+	for _, v := range s.authority.Ask(s.now) {
+		s.exchange(v.Address, s.digest())
+	}
 	if s.now.Before(s.compareDue) {
 		return
 	}
@@ -266,6 +312,8 @@
 		s.emit(Reject{err})
 	}
 	s.emit(Adopt{s.store.tree, s.store.list})
+	s.authority.Adopt(s.now, s.store.list)
+	s.authority.Seal(s.dataCentre, s.store.tree.SealedRevision())
 	peers := s.peers(false)
 	s.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, a := range peers[:min(fanout, len(peers))] {
@@ -277,7 +325,11 @@
 }
 
 func (s *Spread) push(address string, since uint64) {
-	s.emit(Exchange{address, s.digestSince(since)})
+	s.exchange(address, s.digestSince(since))
+}
+
+func (s *Spread) exchange(address string, d *wire.Digest) {
+	s.emit(Exchange{address, d, s.now})
 }
 
 // compare exchanges revisions with one random peer.
@@ -290,7 +342,7 @@
 	if len(peers) == 0 {
 		return
 	}
-	s.emit(Exchange{peers[s.rand.IntN(len(peers))], s.digest()})
+	s.exchange(peers[s.rand.IntN(len(peers))], s.digest())
 }
 
 // peers returns the addresses of other processes in this data centre, or in others.
@@ -308,14 +360,21 @@
 }
 
 func (s *Spread) digest() *wire.Digest {
-	return &wire.Digest{
+	d := &wire.Digest{
 		Vm:            s.vm,
 		Incarnation:   s.incarnation,
 		Revision:      s.store.revision,
 		ReadAgeMicros: s.now.Sub(s.readAt).Microseconds(),
 		Since:         s.store.have,
 		Upto:          s.store.have,
+		Epoch:         s.authority.Epoch(),
+		Informed:      s.authority.Informed(),
 	}
+	seals := s.authority.Seals()
+	for _, c := range slices.Sorted(maps.Keys(seals)) {
+		d.Seals = append(d.Seals, &wire.Seal{DataCentre: c, Epoch: seals[c]})
+	}
+	return d
 }
 
 func (s *Spread) digestSince(revision uint64) *wire.Digest {
@@ -342,11 +401,12 @@
 	}
 	s.heard[e.Address] = true
 	s.take(e.Digest)
+	s.authority.Answered(s.now, e.At, e.Digest.Vm, e.Digest.Epoch, e.Digest.Informed)
 	switch {
 	case e.Digest.Revision < s.store.revision:
 		s.push(e.Address, e.Digest.Upto)
 	case e.Digest.Revision > s.store.revision:
-		s.emit(Exchange{e.Address, s.digest()})
+		s.exchange(e.Address, s.digest())
 	}
 }
 
@@ -355,6 +415,9 @@
 	if at := s.now.Add(-time.Duration(d.ReadAgeMicros) * time.Microsecond); at.After(s.readAt) {
 		s.readAt = at
 	}
+	for _, x := range d.Seals {
+		s.authority.Seal(x.DataCentre, x.Epoch)
+	}
 	before := s.store.revision
 	if d.Since <= s.store.have && s.store.apply(d.Upto, d.Changes, d.Upto >= d.Revision) {
 		s.adopt(before)
--- a/coord/spread/store.go
+++ b/coord/spread/store.go
@@ -47,6 +47,10 @@
 		if old != nil && old.Revision >= c.Revision {
 			continue
 		}
+		if c.Deleted && old != nil {
+			// The last value tells where a VM was that is gone.
+			c = &wire.Change{Key: c.Key, Value: old.Value, Revision: c.Revision, Created: old.Created, Deleted: true}
+		}
 		s.items[c.Key] = c
 		if strings.HasPrefix(c.Key, VMPrefix) {
 			s.vms = max(s.vms, c.Revision)
@@ -118,15 +122,21 @@
 		return
 	}
 	var vms []fleet.VM
+	var gone []fleet.Gone
 	for k, c := range s.items {
-		if c.Deleted || !strings.HasPrefix(k, VMPrefix) {
+		name, ok := strings.CutPrefix(k, VMPrefix)
+		if !ok {
 			continue
 		}
 		v, err := fleet.DecodeVM(c.Value)
-		if err != nil {
-			continue
+		v.Created = c.Created
+		switch {
+		case c.Deleted:
+			v.Name = name
+			gone = append(gone, fleet.Gone{VM: v, Removed: c.Revision})
+		case err == nil:
+			vms = append(vms, v)
 		}
-		vms = append(vms, v)
 	}
-	s.list = fleet.NewList(s.vms, vms)
+	s.list = fleet.NewList(s.vms, vms).WithGone(gone)
 }
--- a/coord/tree/items.go
+++ b/coord/tree/items.go
@@ -44,6 +44,9 @@
 	Values `yaml:",inline"`
 	// DataCentres are those that share the limits.
 	DataCentres []string `yaml:"data-centres,omitempty"`
+	// SealedRevision is the operator's word that no VM acts any more on a list of VMs
+	// older than this revision.
+	SealedRevision uint64 `yaml:"sealed-revision,omitempty"`
 }
 
 // Service is a kind of upstream.
--- a/coord/tree/tree.go
+++ b/coord/tree/tree.go
@@ -187,6 +187,10 @@
 // DataCentres returns the data centres that share the limits.
 func (t *Tree) DataCentres() []string { return t.root.DataCentres }
 
+// SealedRevision returns the revision before which no list of VMs is in use, by the
+// operator's word.
+func (t *Tree) SealedRevision() uint64 { return t.root.SealedRevision }
+
 // Workspaces returns the number of workspaces.
 func (t *Tree) Workspaces() int { return len(t.workspaces) }
 
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -98,7 +98,7 @@
 		callers:  ls[2].Addr().String(),
 		born:     now,
 		ctx:      ctx,
-		router:   router.New(uint64(now.UnixNano()), router.WithDataCentre(s.DataCentre)),
+		router:   router.New(uint64(now.UnixNano()), router.WithVM(s.VM, s.DataCentre)),
 		list:     fleet.NewList(0, nil),
 		sinks:    map[router.ID]*sink{},
 		runs:     map[router.Ref]*run{},
@@ -106,7 +106,7 @@
 	e.trace.Add(now, trace.Event{Kind: trace.Incarnated})
 	id := feed.Identity{VM: s.VM, DataCentre: s.DataCentre, Incarnation: uint64(now.UnixNano())}
 	var stopFeed func()
-	e.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), pool, l, e.adopt)
+	e.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), pool, l, e.adopt, nil)
 	e.metrics.watchFeed(&e.feed.Counts)
 	stopOps := opsrv.Serve(ls[1], e.metrics.registry, e.trace, e.Status)
 	e.http = &http.Server{Handler: e.handler(), ReadHeaderTimeout: headerTimeout}
--- a/local/stand/platform.go
+++ b/local/stand/platform.go
@@ -82,6 +82,10 @@
 	defer p.mu.Unlock()
 	p.revision++
 	i.Revision = p.revision
+	i.Created = p.revision
+	if old, ok := p.items[i.Key]; ok && (!old.Deleted || i.Deleted) {
+		i.Created = old.Created
+	}
 	p.items[i.Key] = i
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -99,7 +103,7 @@
 	defer p.mu.Unlock()
 	p.revision++
 	for _, c := range changes {
-		p.items[c.Key] = feed.Item{Key: c.Key, Value: string(c.Value), Revision: p.revision}
+		p.items[c.Key] = feed.Item{Key: c.Key, Value: string(c.Value), Revision: p.revision, Created: p.revision}
 	}
 	close(p.changed)
 	p.changed = make(chan struct{})
