local: scripts run again when a source file changes

Before: (cached) after a change of coord. After: the package runs again. Conclusion: a green result is one of this tree.

--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -24,6 +24,10 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
+	if err := watchSources(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	for _, p := range programs {
 		c := exec.Command("go", "build", "-o", filepath.Join(dir, p), ".")
 		c.Dir = filepath.Join("..", "..", p)
@@ -38,6 +42,18 @@
 	return m.Run()
 }
 
+// watchSources looks at all source files, so that a cached result of this package's
+// tests ends when one of them changes.
+func watchSources() error {
+	return filepath.WalkDir(filepath.Join("..", ".."), func(p string, d os.DirEntry, err error) error {
+		if err != nil || filepath.Ext(p) != ".go" {
+			return err
+		}
+		_, err = os.Stat(p)
+		return err
+	})
+}
+
 func TestScripts(t *testing.T) {
 	settings, err := os.ReadFile(filepath.Join("..", "world", "example.yaml"))
 	if err != nil {
