worker, router: at most once through restarts and retries

A keyed request repeated after its agent had restarted ran again: the new life knew nothing of it, and refused a cancelled attempt as 'not run' though its record said unknown, so the entry went elsewhere. An answer of a call that isn't idempotent stayed 'unread' for ten minutes after its caller had gone and held up a drain. Ended runs kept a lease of ten minutes. Change: for the route's retry-window after its start an agent refuses keyed requests that it doesn't know with 'unknown' and when to come back; the same for agents that left the list. A record that isn't 'no' goes before a tombstone. Runs that nobody waits for are marked so.

--- /dev/null
+++ b/coord/fake/path.go
@@ -0,0 +1,507 @@
+package fake
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/router"
+	"cranberrypoint.example/coord/trace"
+	"cranberrypoint.example/coord/tree"
+	"cranberrypoint.example/coord/wire"
+	"cranberrypoint.example/coord/worker"
+)
+
+const (
+	beatPeriod  = time.Second
+	silence     = 3 * time.Second
+	sweepPeriod = time.Second
+	pathTick    = 50 * time.Millisecond
+)
+
+// Caller is one request and what came of it.
+type Caller struct {
+	Entry string
+	Call  router.Call
+	Name  string
+	At    time.Time
+	Head  *wire.Head
+	Body  []byte
+	// Finishes counts the ends of the answer.
+	Finishes int
+	Err      *fault.Error
+	// Gone callers hung up.
+	Gone bool
+	// Lost is true when the entry died with the request.
+	Lost bool
+}
+
+type entryStream struct {
+	*stream
+	id    worker.StreamID
+	heard time.Time
+}
+
+type entryNode struct {
+	name    string
+	life    uint64
+	router  *router.Router
+	streams map[router.Ref]*entryStream
+	callers map[router.ID]*Caller
+	serial  router.ID
+}
+
+type agentNode struct {
+	vm      fleet.VM
+	life    uint64
+	worker  *worker.Worker
+	streams map[worker.StreamID]*entryStream
+	serial  worker.StreamID
+	// answers hold what to do with the answers to Cancel.
+	answers map[uint64]func(wire.Ran)
+	asks    uint64
+	slots   int
+}
+
+// Path is the whole path of requests inside a Net: entries and agents as reducers,
+// with upstreams, callers and holders of limits as fakes.
+type Path struct {
+	*Net
+	Tree      *tree.Tree
+	List      *fleet.List
+	Upstreams map[string]*Upstream
+	Callers   []*Caller
+	// Log is the merged time line.
+	Log []trace.Event
+	// Reserved and Settled hold what was granted and settled by reservation.
+	Reserved map[string]int64
+	Settled  map[string]int64
+
+	entries map[string]*entryNode
+	agents  map[string]*agentNode
+	exports exports
+	lastLog trace.Event
+}
+
+// NewPath returns a path with a settings tree and no nodes.
+func NewPath(seed uint64, f Faults, t *tree.Tree) *Path {
+	return &Path{
+		Net:       New(seed, f),
+		Tree:      t,
+		Upstreams: map[string]*Upstream{},
+		Reserved:  map[string]int64{},
+		Settled:   map[string]int64{},
+		entries:   map[string]*entryNode{},
+		agents:    map[string]*agentNode{},
+		exports:   exports{},
+	}
+}
+
+// AddAgents starts agents and their upstreams, and publishes the list.
+func (p *Path) AddAgents(vms []fleet.VM, slots int) {
+	for _, v := range vms {
+		p.Upstreams[v.Name] = newUpstream(p.Net)
+		p.agents[v.Name] = &agentNode{vm: v, slots: slots}
+		if v.Stage == fleet.Prefill {
+			p.agents[v.Name].slots = 1
+		}
+	}
+	p.List = fleet.NewList(1, vms)
+	for _, n := range slices.Sorted(maps.Keys(p.agents)) {
+		p.StartAgent(n)
+	}
+}
+
+// StartAgent starts an agent, or starts it again with nothing kept.
+func (p *Path) StartAgent(name string) {
+	a := p.agents[name]
+	for _, s := range a.streams {
+		p.breakStream(s)
+	}
+	p.Restart(name)
+	a.life = p.Life(name)
+	a.worker = worker.New(p.Now(), a.life+1, worker.WithSlots(a.slots))
+	a.streams = map[worker.StreamID]*entryStream{}
+	a.answers = map[uint64]func(wire.Ran){}
+	p.stepAgent(a, worker.Configured{Tree: p.Tree})
+	p.every(pathTick, name, func() { p.stepAgent(a, worker.Ticked{}) })
+	p.every(sweepPeriod, name, func() {
+		held := slices.Sorted(maps.Keys(p.Upstreams[name].Held))
+		p.stepAgent(a, worker.HeldListed{Names: held})
+	})
+}
+
+// StartEntry starts an entry, or starts it again. Its callers of before are lost.
+func (p *Path) StartEntry(name string) {
+	// What a dead entry has reserved counts as used when its time is over.
+	for n := range p.Reserved {
+		if _, ok := p.Settled[n]; !ok && strings.HasPrefix(n, name+"/") {
+			delete(p.Reserved, n)
+		}
+	}
+	if old := p.entries[name]; old != nil {
+		for _, c := range p.Callers {
+			if c.Entry == name && c.Finishes == 0 {
+				c.Lost = true
+			}
+		}
+		for _, f := range sortedRefs(old.streams) {
+			p.breakStream(old.streams[f])
+		}
+	}
+	p.Restart(name)
+	e := &entryNode{
+		name:    name,
+		life:    p.Life(name),
+		router:  router.New(p.Rand.Uint64(), router.WithVM(name, "a")),
+		streams: map[router.Ref]*entryStream{},
+		callers: map[router.ID]*Caller{},
+	}
+	p.entries[name] = e
+	p.stepEntry(e, router.Configured{Tree: p.Tree, List: p.List})
+	p.every(pathTick, name, func() { p.stepEntry(e, router.Ticked{}) })
+	p.every(pathTick, name, func() { p.watch(e) })
+	p.every(beatPeriod, name, func() { p.beat(e) })
+}
+
+func sortedRefs(m map[router.Ref]*entryStream) []router.Ref {
+	return slices.SortedFunc(maps.Keys(m), func(a, b router.Ref) int {
+		if a.ID != b.ID {
+			return int(a.ID) - int(b.ID)
+		}
+		if a.Stage != b.Stage {
+			return int(a.Stage) - int(b.Stage)
+		}
+		return int(a.Attempt) - int(b.Attempt)
+	})
+}
+
+// every calls f periodically in a node's present life, also late when it is frozen.
+func (p *Path) every(d time.Duration, name string, f func()) {
+	life := p.Life(name)
+	var next func()
+	next = func() {
+		if p.Life(name) != life {
+			return
+		}
+		if !p.Frozen(name) {
+			f()
+		}
+		p.After(d, next)
+	}
+	p.After(d, next)
+}
+
+// breakStream ends a stream as the death of a process does: the other end is told.
+func (p *Path) breakStream(s *entryStream) {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	if s.silent {
+		return
+	}
+	if e := p.entries[s.entry]; e != nil {
+		for _, f := range sortedRefs(e.streams) {
+			if e.streams[f] == s {
+				life := e.life
+				p.After(p.delay(), func() {
+					p.Do(e.name, life, func() { p.lose(e, f, s) })
+				})
+			}
+		}
+	}
+	if a := p.agents[s.agent]; a != nil {
+		life := a.life
+		p.After(p.delay(), func() {
+			p.Do(a.vm.Name, life, func() { p.stepAgent(a, worker.Closed{Stream: s.id}) })
+		})
+	}
+}
+
+func (p *Path) lose(e *entryNode, f router.Ref, s *entryStream) {
+	if e.streams[f] == s {
+		delete(e.streams, f)
+		p.stepEntry(e, router.RunLost{Ref: f, Sent: true})
+	}
+}
+
+// watch gives up streams that brought nothing for too long.
+func (p *Path) watch(e *entryNode) {
+	for _, f := range sortedRefs(e.streams) {
+		if s := e.streams[f]; p.Now().Sub(s.heard) >= silence {
+			s.silent = true
+			p.lose(e, f, s)
+		}
+	}
+}
+
+func (p *Path) beat(e *entryNode) {
+	for _, f := range sortedRefs(e.streams) {
+		s := e.streams[f]
+		a := p.agents[s.agent]
+		s.send(toAgent, a.life, func() { p.stepAgent(a, worker.Beat{Stream: s.id}) })
+	}
+}
+
+// Ask makes a request at an entry.
+func (p *Path) Ask(entry string, call router.Call) *Caller {
+	c := &Caller{Entry: entry, Call: call, Name: call.Name, At: p.Now()}
+	p.Callers = append(p.Callers, c)
+	e := p.entries[entry]
+	p.Do(entry, e.life, func() {
+		e.serial++
+		e.callers[e.serial] = c
+		p.stepEntry(e, router.Arrived{ID: e.serial, Call: call})
+	})
+	return c
+}
+
+// HangUp ends a caller's interest in its answer.
+func (p *Path) HangUp(c *Caller) {
+	e := p.entries[c.Entry]
+	for id, x := range e.callers {
+		if x == c && c.Finishes == 0 {
+			c.Gone = true
+			p.Do(c.Entry, e.life, func() { p.stepEntry(e, router.CallerGone{ID: id}) })
+			return
+		}
+	}
+}
+
+// Active returns the number of requests and runs in progress.
+func (p *Path) Active() int {
+	n := 0
+	for _, e := range p.entries {
+		n += e.router.Active()
+	}
+	for _, a := range p.agents {
+		n += a.worker.Active()
+	}
+	return n
+}
+
+// Held returns the runs that hold engine memory.
+func (p *Path) Held() []string {
+	var r []string
+	for _, u := range p.Upstreams {
+		r = append(r, slices.Sorted(maps.Keys(u.Held))...)
+	}
+	return r
+}
+
+// Effects returns how often a request had its effect, over all upstreams.
+func (p *Path) Effects(name string) int {
+	n := 0
+	for _, u := range p.Upstreams {
+		n += u.Effects[name]
+	}
+	return n
+}
+
+func (p *Path) log(node string, e trace.Event) {
+	e.VM = node
+	e.At = p.lastLog.At.Next(p.Now())
+	p.lastLog = e
+	p.Log = append(p.Log, e)
+}
+
+func (p *Path) stepEntry(e *entryNode, v router.Event) {
+	for _, x := range e.router.Step(p.Now(), v) {
+		p.entryEffect(e, x)
+	}
+}
+
+// later applies an event to an entry's present life soon.
+func (p *Path) later(e *entryNode, v router.Event) {
+	p.After(time.Millisecond, func() { p.Do(e.name, e.life, func() { p.stepEntry(e, v) }) })
+}
+
+func (p *Path) entryEffect(e *entryNode, x router.Effect) {
+	switch x := x.(type) {
+	case router.Reserve:
+		p.Reserved[x.Name] = x.Tokens
+		p.later(e, router.TokensAnswered{ID: x.ID, VM: x.VM, Reply: &wire.ReserveReply{Granted: x.Tokens, Holder: true}})
+	case router.Settle:
+		p.Settled[x.Name] = x.Used
+	case router.OpenRun:
+		p.open(e, x.Ref, x.VM, func(a *agentNode, s *entryStream) worker.Event {
+			return worker.Opened{Stream: s.id, Open: x.Open}
+		})
+	case router.ResumeRun:
+		p.open(e, x.Ref, x.VM, func(a *agentNode, s *entryStream) worker.Event {
+			return worker.Reopened{Stream: s.id, Resume: x.Resume}
+		})
+	case router.FeedRun:
+		p.toAgent(e, x.Ref, func(s *entryStream) worker.Event { return worker.Fed{Stream: s.id, Feed: x.Feed} })
+	case router.AckRun:
+		p.toAgent(e, x.Ref, func(s *entryStream) worker.Event { return worker.Acked{Stream: s.id, Offset: x.Offset} })
+	case router.StopRun:
+		p.toAgent(e, x.Ref, func(s *entryStream) worker.Event { return worker.Stopped{Stream: s.id} })
+		delete(e.streams, x.Ref)
+	case router.AskCancel:
+		p.askCancel(e, x)
+	case router.Accepted:
+		e.callers[x.ID].Name = x.Name
+	case router.Head:
+		e.callers[x.ID].Head = x.Head
+	case router.Write:
+		p.write(e, x)
+	case router.Finish:
+		c := e.callers[x.ID]
+		c.Finishes++
+		c.Err = x.Err
+	case router.Trace:
+		p.log(e.name, x.Event)
+	}
+}
+
+func (p *Path) write(e *entryNode, x router.Write) {
+	c := e.callers[x.ID]
+	if int64(len(c.Body)) != x.Offset {
+		panic(fmt.Sprintf("caller of %s has %d bytes and is given those from %d", c.Name, len(c.Body), x.Offset))
+	}
+	c.Body = append(c.Body, x.Data...)
+	p.later(e, router.Passed{ID: x.ID, Offset: int64(len(c.Body))})
+}
+
+func (p *Path) open(e *entryNode, f router.Ref, vm string, first func(*agentNode, *entryStream) worker.Event) {
+	a := p.agents[vm]
+	if old := e.streams[f]; old != nil {
+		delete(e.streams, f)
+		p.breakStream(old)
+	}
+	if p.Cut(e.name, vm) {
+		p.After(CallTimeout, func() {
+			p.Do(e.name, e.life, func() { p.stepEntry(e, router.RunLost{Ref: f}) })
+		})
+		return
+	}
+	a.serial++
+	s := &entryStream{
+		stream: &stream{net: p.Net, entry: e.name, agent: vm},
+		id:     a.serial,
+		heard:  p.Now(),
+	}
+	e.streams[f] = s
+	s.send(toAgent, a.life, func() {
+		a.streams[s.id] = s
+		p.stepAgent(a, first(a, s))
+	})
+}
+
+func (p *Path) toAgent(e *entryNode, f router.Ref, v func(*entryStream) worker.Event) {
+	s := e.streams[f]
+	if s == nil {
+		return
+	}
+	a := p.agents[s.agent]
+	s.send(toAgent, a.life, func() { p.stepAgent(a, v(s)) })
+}
+
+func (p *Path) askCancel(e *entryNode, x router.AskCancel) {
+	a := p.agents[x.VM]
+	life := e.life
+	answered := false
+	done := func(ran wire.Ran, err error) {
+		p.Do(e.name, life, func() {
+			if !answered {
+				answered = true
+				p.stepEntry(e, router.CancelAnswered{ID: x.ID, VM: x.VM, Ran: ran, Err: err})
+			}
+		})
+	}
+	p.Send(e.name, x.VM, func() {
+		a.asks++
+		a.answers[a.asks] = func(ran wire.Ran) {
+			p.Send(x.VM, e.name, func() { done(ran, nil) })
+		}
+		p.stepAgent(a, worker.CancelAsked{Ask: a.asks, Request: x.Name, Attempt: x.Attempt, Opened: x.Opened})
+	})
+	p.After(CallTimeout, func() { done(wire.Ran_RAN_UNKNOWN, errTimeout) })
+}
+
+func (p *Path) stepAgent(a *agentNode, v worker.Event) {
+	for _, x := range a.worker.Step(p.Now(), v) {
+		p.agentEffect(a, x)
+	}
+}
+
+func (p *Path) agentEffect(a *agentNode, x worker.Effect) {
+	name, life := a.vm.Name, a.life
+	u := p.Upstreams[name]
+	switch x := x.(type) {
+	case worker.Send:
+		if s := a.streams[x.Stream]; s != nil {
+			p.toEntry(s, x.Reply)
+		}
+	case worker.Close:
+		if s := a.streams[x.Stream]; s != nil {
+			delete(a.streams, x.Stream)
+			p.closeStream(s)
+		}
+	case worker.StartCall:
+		u.call(x, p.exports, func(v worker.Event) {
+			p.Do(name, life, func() { p.stepAgent(a, v) })
+		})
+	case worker.AbortCall:
+		u.cancel(x.Run.String())
+	case worker.FreeHeld:
+		u.cancel(x.Name)
+	case worker.AnswerCancel:
+		a.answers[x.Ask](x.Ran)
+		delete(a.answers, x.Ask)
+	case worker.Trace:
+		p.log(name, x.Event)
+	}
+}
+
+// closeStream ends a stream in good order: messages before the end still arrive.
+func (p *Path) closeStream(s *entryStream) {
+	e := p.entries[s.entry]
+	life := p.Life(s.entry)
+	s.send(toEntry, life, func() {
+		s.closed = true
+		for _, f := range sortedRefs(e.streams) {
+			if e.streams[f] == s {
+				p.lose(e, f, s)
+			}
+		}
+	})
+}
+
+func (p *Path) toEntry(s *entryStream, m *wire.RunReply) {
+	e := p.entries[s.entry]
+	s.send(toEntry, p.Life(s.entry), func() {
+		for _, f := range sortedRefs(e.streams) {
+			if e.streams[f] == s {
+				s.heard = p.Now()
+				p.reply(e, f, s, m)
+				return
+			}
+		}
+	})
+}
+
+func (p *Path) reply(e *entryNode, f router.Ref, s *entryStream, m *wire.RunReply) {
+	switch k := m.Kind.(type) {
+	case *wire.RunReply_Granted:
+		p.stepEntry(e, router.RunGranted{Ref: f, Incarnation: k.Granted.Incarnation})
+	case *wire.RunReply_Head:
+		p.stepEntry(e, router.RunHead{Ref: f, Head: k.Head})
+	case *wire.RunReply_Data:
+		p.stepEntry(e, router.RunData{Ref: f, Data: k.Data})
+	case *wire.RunReply_Done:
+		p.stepEntry(e, router.RunDone{Ref: f, Done: k.Done})
+		if e.streams[f] == s {
+			delete(e.streams, f)
+		}
+	case *wire.RunReply_Fail:
+		delete(e.streams, f)
+		p.stepEntry(e, router.RunFailed{Ref: f, Err: &fault.Error{Code: fault.Code(k.Fail.Code), Text: k.Fail.Text, Ran: k.Fail.Ran}})
+	}
+}
--- a/coord/fault/fault.go
+++ b/coord/fault/fault.go
@@ -25,6 +25,7 @@
 	Unreachable   Code = "upstream_unreachable"
 	UpstreamError Code = "upstream_error"
 	Unclear       Code = "outcome_unknown"
+	Forgotten     Code = "outcome_forgotten"
 	Leaving       Code = "leaving"
 	Duplicate     Code = "duplicate_request"
 	Cancelled     Code = "cancelled"
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -61,6 +61,13 @@
 	Plain   = "plain"
 )
 
+// Serves reports whether the VM is an agent of a service, stage and model. An empty
+// model accepts all.
+func (v VM) Serves(service, stage, model string) bool {
+	return v.Role == Agent && v.Service == service && v.Stage == stage &&
+		(model == "" || v.Model == "" || v.Model == model)
+}
+
 // StageOf returns the wire form of a stage name.
 func StageOf(s string) wire.Stage {
 	switch s {
@@ -138,6 +145,9 @@
 	return r
 }
 
+// AllGone returns all VMs that are no longer listed.
+func (l *List) AllGone() []Gone { return l.gone }
+
 // Members returns the VMs of a data centre.
 func (l *List) Members(dataCentre string) []VM {
 	return l.All(func(v VM) bool { return v.DataCentre == dataCentre })
@@ -180,10 +190,7 @@
 // Upstreams returns the agents that take new work of a service, stage and model.
 // An empty model accepts all.
 func (l *List) Upstreams(service, stage, model string) []VM {
-	return l.All(func(v VM) bool {
-		return v.Role == Agent && v.State == Live && v.Service == service &&
-			v.Stage == stage && (model == "" || v.Model == "" || v.Model == model)
-	})
+	return l.All(func(v VM) bool { return v.State == Live && v.Serves(service, stage, model) })
 }
 
 // Score returns the weight of a name for a key in rendezvous hashing.
--- a/coord/quota/limits_test.go
+++ b/coord/quota/limits_test.go
@@ -30,6 +30,7 @@
 	set("rapid.seed", "CRANBERRYPOINT_TEST_SEED", "20301")
 	set("rapid.checks", "CRANBERRYPOINT_TEST_CHECKS", "25")
 	set("rapid.nofailfile", "", "true")
+	set("rapid.shrinktime", "", "5s")
 	os.Exit(m.Run())
 }
 
--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -75,6 +75,14 @@
 // keyed reports whether repetitions of the request must meet at one agent.
 func (r *request) keyed() bool { return r.call.IdempotencyKey != "" && !r.idempotent() }
 
+// window is how long the caller may repeat the request; 0 if it can't.
+func (r *request) window() time.Duration {
+	if !r.keyed() {
+		return 0
+	}
+	return r.values.RetryWindow
+}
+
 // cost is what the request is charged at most, in tokens.
 func (r *request) cost() int64 {
 	if r.generated {
@@ -144,6 +152,7 @@
 		Weight:         r.weight,
 		Model:          r.model(),
 		Digest:         r.call.Digest,
+		WindowMicros:   r.window().Microseconds(),
 	}
 }
 
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"cranberrypoint.example/coord/assert"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/fleet"
 	"cranberrypoint.example/coord/quota"
@@ -46,9 +47,11 @@
 	reserver   *quota.Reserver
 	requests   map[ID]*request
 	unreached  map[string]time.Time
-	draining   bool
-	now        time.Time
-	effects    []Effect
+	// goneAt is when this entry first knew that a VM is no longer listed.
+	goneAt   map[string]time.Time
+	draining bool
+	now      time.Time
+	effects  []Effect
 }
 
 // Option changes a default.
@@ -68,6 +71,7 @@
 		loads:     newLoads(seed),
 		requests:  map[ID]*request{},
 		unreached: map[string]time.Time{},
+		goneAt:    map[string]time.Time{},
 	}
 	for _, o := range opts {
 		o(r)
@@ -146,10 +150,19 @@
 	if e.List.Revision() >= r.list.Revision() {
 		r.list = e.List
 		r.loads.keep(e.List)
+		r.noteGone()
 	}
 	r.reserver.Configure(r.tree, r.list)
 }
 
+func (r *Router) noteGone() {
+	for _, g := range r.list.AllGone() {
+		if _, ok := r.goneAt[g.Name]; !ok {
+			r.goneAt[g.Name] = r.now
+		}
+	}
+}
+
 func (r *Router) arrived(e Arrived) {
 	q := &request{id: e.ID, call: e.Call, ran: wire.Ran_RAN_NO, avoid: map[string]bool{}}
 	r.requests[e.ID] = q
@@ -272,10 +285,18 @@
 		stage = fleet.Decode
 	}
 	v, ok := r.choose(q, stage)
+	if q.keyed() {
+		v, ok = r.owner(q)
+	}
 	if !ok {
 		r.finish(q, r.nowhere(q, stage))
 		return
 	}
+	if until, gone := r.forgotten(q, v.Name); q.keyed() && gone {
+		err := fault.NotRun(fault.Forgotten, "an upstream that is gone may have run the request")
+		r.finish(q, err.WithRan(wire.Ran_RAN_UNKNOWN).WithAgain(until))
+		return
+	}
 	q.attempts++
 	q.phase = placing
 	q.prefill = target{}
@@ -301,19 +322,33 @@
 	return err.WithRan(q.ran).WithAgain(r.now.Add(againDelay))
 }
 
-// choose returns the agent for a stage of a request. Keyed requests go to the same
-// agent from every entry.
-func (r *Router) choose(q *request, stage string) (fleet.VM, bool) {
-	all := r.list.Upstreams(q.service, stage, q.model())
-	fit := all[:0:0]
-	for _, v := range all {
-		if !q.avoid[v.Name] {
-			fit = append(fit, v)
+// owner returns the agent that all repetitions of a keyed request go to. One that is
+// leaving still answers for what it ran, and refuses what it didn't.
+func (r *Router) owner(q *request) (fleet.VM, bool) {
+	return fleet.Top(r.list.All(func(v fleet.VM) bool {
+		return !q.avoid[v.Name] && v.Serves(q.service, fleet.Plain, "")
+	}), q.name())
+}
+
+// forgotten reports whether a VM that is gone from the list may have run a repetition
+// of a keyed request, and until when.
+func (r *Router) forgotten(q *request, owner string) (until time.Time, ok bool) {
+	own := fleet.Score(owner, q.name())
+	for _, g := range r.list.AllGone() {
+		u := r.goneAt[g.Name].Add(q.window())
+		served := g.Service == "" || g.Serves(q.service, fleet.Plain, "")
+		if served && r.now.Before(u) && fleet.Score(g.Name, q.name()) > own {
+			return u, true
 		}
 	}
-	if q.keyed() {
-		return fleet.Top(fit, q.name())
-	}
+	return time.Time{}, false
+}
+
+// choose returns the agent for a stage of a request.
+func (r *Router) choose(q *request, stage string) (fleet.VM, bool) {
+	fit := slices.DeleteFunc(r.list.Upstreams(q.service, stage, q.model()), func(v fleet.VM) bool {
+		return q.avoid[v.Name]
+	})
 	reached := fit[:0:0]
 	for _, v := range fit {
 		if !r.now.Before(r.unreached[v.Name]) {
@@ -399,6 +434,7 @@
 		r.lost(q, t)
 		return
 	}
+	assert.That(d.Offset == q.offset, "request %s: data from %d after %d bytes", q.name(), d.Offset, q.offset)
 	q.offset = end
 	q.tokens += int64(d.Tokens)
 	q.ran = wire.Ran_RAN_YES
@@ -472,7 +508,7 @@
 // retryable reports whether another agent may do better.
 func retryable(err *fault.Error) bool {
 	switch err.Code {
-	case fault.BadKey, fault.BadRequest, fault.Duplicate, fault.TooLarge:
+	case fault.BadKey, fault.BadRequest, fault.Duplicate, fault.TooLarge, fault.Forgotten:
 		return false
 	}
 	return true
@@ -590,6 +626,8 @@
 
 // finish ends a request with an error.
 func (r *Router) finish(q *request, err *fault.Error) {
+	assert.That(r.requests[q.id] == q, "request %s is finished twice", q.name())
+	assert.That(err.Ran != wire.Ran_RAN_NO || q.offset == 0, "request %s gave data and is said not to have run", q.name())
 	kind := trace.Refused
 	if err.Ran != wire.Ran_RAN_NO {
 		kind = trace.Failed
--- a/coord/tree/items.go
+++ b/coord/tree/items.go
@@ -22,6 +22,9 @@
 	Timeout *time.Duration `yaml:"timeout,omitempty"`
 	// Patience bounds the time that a request may wait before it starts.
 	Patience *time.Duration `yaml:"patience,omitempty"`
+	// RetryWindow is how long after a request callers may repeat it under its
+	// idempotency key.
+	RetryWindow *time.Duration `yaml:"retry-window,omitempty"`
 	// MaxBody is the largest request body in bytes.
 	MaxBody *int64 `yaml:"max-body,omitempty"`
 	// MaxTokens is the largest answer in tokens.
--- a/coord/tree/resolve.go
+++ b/coord/tree/resolve.go
@@ -23,6 +23,7 @@
 	BetweenTokens time.Duration
 	Timeout       time.Duration
 	Patience      time.Duration
+	RetryWindow   time.Duration
 	MaxBody       int64
 	MaxTokens     int64
 	Cost          int64
@@ -37,6 +38,7 @@
 	BetweenTokens: 34 * time.Millisecond,
 	Timeout:       time.Minute,
 	Patience:      time.Second,
+	RetryWindow:   time.Minute,
 	MaxBody:       1 << 20,
 	MaxTokens:     1024,
 	Cost:          1,
@@ -267,6 +269,7 @@
 		{"between-tokens", int64(r.BetweenTokens)},
 		{"timeout", int64(r.Timeout)},
 		{"patience", int64(r.Patience)},
+		{"retry-window", int64(r.RetryWindow)},
 		{"max-body", r.MaxBody},
 		{"max-tokens", r.MaxTokens},
 		{"cost", r.Cost},
--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -11,10 +11,10 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
+	"cranberrypoint.example/coord/assert"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/queue"
 	"cranberrypoint.example/coord/trace"
@@ -68,7 +68,10 @@
 	done     *wire.Done
 	fail     *fault.Error
 	started  bool
-	stopped  bool
+	// stopped is true while no entry waits for the answer.
+	stopped bool
+	// keep is until when an ended run answers repetitions of its request.
+	keep time.Time
 }
 
 // record is what stays of a request after its runs are gone.
@@ -76,7 +79,9 @@
 	// cancelled is the highest attempt that never ran and never will.
 	cancelled uint32
 	ran       wire.Ran
-	keep      time.Time
+	// started is true once a run of the request was given to the upstream.
+	started bool
+	keep    time.Time
 }
 
 // Worker is the state of an agent. Use New.
@@ -135,7 +140,7 @@
 func (w *Worker) Active() int {
 	n := 0
 	for _, r := range w.runs {
-		if r.phase != ended || r.unread() {
+		if r.phase != ended || r.unread() && r.stream != 0 {
 			n++
 		}
 	}
@@ -250,11 +255,6 @@
 		w.attachAgain(e.Stream, old, o)
 		return
 	}
-	if rec := w.records[o.Request]; rec != nil && !o.Idempotent && rec.ran != wire.Ran_RAN_NO {
-		err := fault.NotRun(fault.Duplicate, "request %s was already given to this agent", o.Request)
-		w.refuse(e.Stream, err.WithRan(rec.ran))
-		return
-	}
 	r := &run{
 		id:      id,
 		open:    o,
@@ -285,10 +285,10 @@
 	if o.Incarnation != 0 && o.Incarnation != w.incarnation {
 		return fault.NotRun(fault.Unclear, "the agent restarted").WithRan(wire.Ran_RAN_UNKNOWN)
 	}
-	if rec := w.records[id.Request]; rec != nil && id.Attempt <= rec.cancelled {
-		return fault.NotRun(fault.Cancelled, "attempt %d was cancelled", id.Attempt)
+	known := w.existing(id, o) != nil
+	if err := w.checkRecord(id, o, known); err != nil {
+		return err
 	}
-	known := w.runs[id] != nil
 	if w.refusing() && !known {
 		return fault.NotRun(fault.Leaving, "the upstream is leaving")
 	}
@@ -298,6 +298,33 @@
 	return nil
 }
 
+// checkRecord looks at what is left of the request's earlier runs.
+func (w *Worker) checkRecord(id RunID, o *wire.Open, known bool) *fault.Error {
+	rec := w.records[id.Request]
+	switch {
+	case known:
+		return nil
+	case rec == nil:
+		return w.checkForgotten(o)
+	case !o.Idempotent && rec.ran != wire.Ran_RAN_NO:
+		return fault.NotRun(fault.Duplicate, "request %s was already given to this agent", id.Request).WithRan(rec.ran)
+	case id.Attempt <= rec.cancelled:
+		return fault.NotRun(fault.Cancelled, "attempt %d was cancelled", id.Attempt)
+	}
+	return nil
+}
+
+// checkForgotten refuses a request that may be the repetition of one that an earlier
+// life of this agent ran.
+func (w *Worker) checkForgotten(o *wire.Open) *fault.Error {
+	until := w.born.Add(time.Duration(o.WindowMicros) * time.Microsecond)
+	if o.Idempotent || !w.now.Before(until) {
+		return nil
+	}
+	err := fault.NotRun(fault.Forgotten, "the upstream's agent has restarted and can't tell whether the request ran")
+	return err.WithRan(wire.Ran_RAN_UNKNOWN).WithAgain(until)
+}
+
 // withdrawn reports whether the key is not granted in a tree at least as new as
 // the entry's.
 func (w *Worker) withdrawn(o *wire.Open) bool {
@@ -354,6 +381,7 @@
 		w.emit(Close{r.stream})
 	}
 	r.stream = s
+	r.stopped = false
 	w.streams[s] = r
 	w.renew(r)
 }
@@ -444,6 +472,10 @@
 }
 
 func (w *Worker) start(r *run, f *wire.Feed) {
+	rec := w.record(r.id.Request)
+	assert.That(r.open.Idempotent || !rec.started, "request %s is started again", r.id.Request)
+	assert.That(r.id.Attempt > rec.cancelled, "cancelled attempt %s is started", r.id)
+	rec.started = true
 	r.phase = running
 	r.started = true
 	w.trace(trace.Started, r, "")
@@ -473,6 +505,7 @@
 		w.detach(r)
 		w.emit(Close{s})
 		if w.replayable(r) {
+			r.stopped = true
 			return
 		}
 		w.forget(r)
@@ -498,7 +531,7 @@
 
 // unread reports whether the entry has not yet passed on the whole answer.
 func (r *run) unread() bool {
-	return r.fail == nil && r.acked < r.end
+	return !r.stopped && r.fail == nil && r.acked < r.end
 }
 
 func (r *run) ran() wire.Ran {
@@ -544,7 +577,10 @@
 
 func (w *Worker) abandon(r *run, k trace.Kind) {
 	if r.phase == running && !r.open.Idempotent {
-		r.lease = time.Unix(math.MaxInt32, 0)
+		r.stopped = true
+		return
+	}
+	if r.phase == ended && w.now.Before(r.keep) {
 		r.stopped = true
 		return
 	}
@@ -637,11 +673,13 @@
 	}
 	c := chunk{offset: r.end, data: e.Data, tokens: e.Tokens}
 	r.end += int64(len(e.Data))
+	r.tail = append(r.tail, c)
 	if r.stopped {
-		r.acked = r.end
+		if !w.replayable(r) {
+			r.tail = nil
+		}
 		return
 	}
-	r.tail = append(r.tail, c)
 	w.sendChunk(r, c)
 	if !r.paused && r.end-r.acked > DefaultWindow {
 		r.paused = true
@@ -679,11 +717,11 @@
 	w.sendEnd(r)
 }
 
-// renewEnded sets the time until which an ended run can be resumed or repeated.
+// renewEnded sets the times until which an ended run can be resumed and repeated.
 func (w *Worker) renewEnded(r *run) {
 	w.renew(r)
 	if w.replayable(r) {
-		r.lease = w.now.Add(w.keep)
+		r.keep = w.now.Add(w.keep)
 	}
 }
 
@@ -699,7 +737,9 @@
 	for _, id := range w.ids() {
 		r := w.runs[id]
 		switch {
-		case !w.now.Before(r.lease):
+		case r.stopped && r.phase == ended && !w.now.Before(r.keep):
+			w.forget(r)
+		case !r.stopped && !w.now.Before(r.lease):
 			w.expire(r)
 		case r.phase == queued && !w.now.Before(r.startBy):
 			w.giveUp(r)
