worker, router: repeated requests follow, keyed ones stay with their owner

An entry that couldn't reach the owner of a keyed request gave it to another agent while a second entry reached the owner: 2 effects. Two callers with one key took the stream from each other until both were told 'unknown'. Ruled out: a longer wait before giving up, which only makes both rarer. Change: a keyed request goes elsewhere only after its owner has refused it, and the refusal leaves a tombstone there. A repetition follows the first stream and is given the whole answer at its end; it takes over when the first is gone.

--- a/coord/fake/net.go
+++ b/coord/fake/net.go
@@ -43,6 +43,9 @@
 	Duplicate float64
 	MinDelay  time.Duration
 	MaxDelay  time.Duration
+	// Late is the odds of a message that takes up to LateBy longer.
+	Late   float64
+	LateBy time.Duration
 }
 
 type node struct {
@@ -169,9 +172,12 @@
 }
 
 func (n *Net) delay() time.Duration {
-	spread := n.Faults.MaxDelay - n.Faults.MinDelay
-	if spread <= 0 {
-		return n.Faults.MinDelay
+	d := n.Faults.MinDelay
+	if spread := n.Faults.MaxDelay - n.Faults.MinDelay; spread > 0 {
+		d += time.Duration(n.Rand.Int64N(int64(spread)))
 	}
-	return n.Faults.MinDelay + time.Duration(n.Rand.Int64N(int64(spread)))
+	if n.Faults.Late > 0 && n.Rand.Float64() < n.Faults.Late {
+		d += time.Duration(n.Rand.Int64N(int64(n.Faults.LateBy)))
+	}
+	return d
 }
--- a/coord/fake/upstream.go
+++ b/coord/fake/upstream.go
@@ -14,6 +14,9 @@
 	importTime  = 20 * time.Millisecond
 	tokenTime   = 15 * time.Millisecond
 	plainTime   = 40 * time.Millisecond
+	// longPlainTime is the longest time of one in a few plain calls.
+	longPlainTime = 4 * time.Second
+	longOdds      = 4
 	// survival is how long a KV cache waits for its import.
 	survival = 800 * time.Millisecond
 )
@@ -114,10 +117,14 @@
 }
 
 func (u *Upstream) plain(x worker.StartCall, tell func(worker.Event)) {
-	u.net.After(plainTime/2, func() {
+	d := plainTime
+	if u.net.Rand.IntN(longOdds) == 0 {
+		d = time.Duration(u.net.Rand.Int64N(int64(longPlainTime)))
+	}
+	u.net.After(time.Duration(u.net.Rand.Int64N(int64(d))), func() {
 		u.Effects[x.Open.Request]++
 	})
-	u.net.After(plainTime, func() {
+	u.net.After(d, func() {
 		tell(worker.CallHead{Run: x.Run, Head: &wire.Head{Status: 200}})
 		tell(worker.CallData{Run: x.Run, Data: []byte(Text(x.Open.Path, 0))})
 		tell(worker.CallData{Run: x.Run, Data: []byte(Text(x.Open.Path, 1))})
--- a/coord/quota/limits_test.go
+++ b/coord/quota/limits_test.go
@@ -427,7 +427,7 @@
 	return func() {}
 }
 
-var faulty = fake.Faults{Loss: 0.02, Duplicate: 0.02, MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond}
+var faulty = fake.Faults{Loss: 0.02, Duplicate: 0.02, MinDelay: time.Millisecond, MaxDelay: 40 * time.Millisecond, Late: 0.01, LateBy: 4 * time.Second}
 
 // faultRun is a run with random faults, one or two at a time.
 func faultRun(t *rapid.T, r *run) {
--- a/coord/router/path_test.go
+++ b/coord/router/path_test.go
@@ -179,7 +179,7 @@
 		n++
 		e := entries[p.Rand.IntN(len(entries))]
 		ask(p, e, n)
-		p.After(time.Duration(p.Rand.Int64N(int64(300*time.Millisecond))), next)
+		p.After(time.Duration(p.Rand.Int64N(int64(100*time.Millisecond))), next)
 	}
 	p.After(0, next)
 }
@@ -248,13 +248,13 @@
 		p.Upstreams[agent].Dead = true
 		return func() { p.Upstreams[agent].Dead = false }
 	case "lossy":
-		p.Faults.Loss = 0.01
+		p.Faults.Loss = 0.03
 		return func() { p.Faults.Loss = 0 }
 	}
 	return func() {}
 }
 
-var delays = fake.Faults{MinDelay: time.Millisecond, MaxDelay: 20 * time.Millisecond, Duplicate: 0}
+var delays = fake.Faults{MinDelay: time.Millisecond, MaxDelay: 20 * time.Millisecond}
 
 // faultRun makes requests under random faults and comes to rest.
 func faultRun(t *rapid.T, p *fake.Path) {
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -547,12 +547,25 @@
 	r.unreached[t.vm] = r.now.Add(avoidTerm)
 	r.trace(trace.Lost, q, t.vm, "")
 	if !e.Sent && t.resumes == 0 {
-		r.runFailed(e.Ref, fault.NotRun(fault.Unreachable, "the upstream's agent can't be reached"))
+		r.unreachable(q, t)
 		return
 	}
 	r.lost(q, t)
 }
 
+// unreachable handles a run that can't have reached its agent. A keyed request goes to
+// no other agent, since another entry may reach this one.
+func (r *Router) unreachable(q *request, t *target) {
+	err := fault.NotRun(fault.Unreachable, "the upstream's agent can't be reached")
+	if !q.keyed() {
+		r.runFailed(t.ref, err)
+		return
+	}
+	t.live = false
+	q.ran = wire.Ran_RAN_NO
+	r.finish(q, err.WithAgain(r.now.Add(againDelay)))
+}
+
 // lost resumes a run on a new stream, or gives it up.
 func (r *Router) lost(q *request, t *target) {
 	if t.resumes < maxResumes && r.now.Before(q.deadline) {
--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -52,22 +52,24 @@
 }
 
 type run struct {
-	id       RunID
-	open     *wire.Open
-	phase    phase
-	stream   StreamID
-	lease    time.Time
-	startBy  time.Time
-	until    time.Time
-	nextBeat time.Time
-	head     *wire.Head
-	tail     []chunk
-	end      int64
-	acked    int64
-	paused   bool
-	done     *wire.Done
-	fail     *fault.Error
-	started  bool
+	id     RunID
+	open   *wire.Open
+	phase  phase
+	stream StreamID
+	// followers are streams of repetitions, which are given the answer when it is whole.
+	followers []StreamID
+	lease     time.Time
+	startBy   time.Time
+	until     time.Time
+	nextBeat  time.Time
+	head      *wire.Head
+	tail      []chunk
+	end       int64
+	acked     int64
+	paused    bool
+	done      *wire.Done
+	fail      *fault.Error
+	started   bool
 	// stopped is true while no entry waits for the answer.
 	stopped bool
 	// keep is until when an ended run answers repetitions of its request.
@@ -248,6 +250,7 @@
 	o := e.Open
 	id := RunID{o.Request, o.Attempt, o.Stage}
 	if err := w.check(id, o); err != nil {
+		w.bury(o, err)
 		w.refuse(e.Stream, err)
 		return
 	}
@@ -280,6 +283,15 @@
 // interactive.
 const batchAgeParts = 4
 
+// bury keeps a refused attempt of a keyed request from ever running here, since the
+// entry will give the request to another agent.
+func (w *Worker) bury(o *wire.Open, err *fault.Error) {
+	if o.WindowMicros > 0 && err.Ran == wire.Ran_RAN_NO {
+		rec := w.record(o.Request)
+		rec.cancelled = max(rec.cancelled, o.Attempt)
+	}
+}
+
 // check returns the reason for which a run must not start here.
 func (w *Worker) check(id RunID, o *wire.Open) *fault.Error {
 	if o.Incarnation != 0 && o.Incarnation != w.incarnation {
@@ -347,19 +359,34 @@
 	return nil
 }
 
-// attachAgain answers a repeated Open with the answer of the first.
+// attachAgain answers a repeated Open with the answer of the first. While another
+// stream carries that, the repetition follows.
 func (w *Worker) attachAgain(s StreamID, r *run, o *wire.Open) {
 	if r.open.Digest != o.Digest {
 		w.refuse(s, fault.NotRun(fault.Duplicate, "request %s came with other content", r.id.Request))
 		return
 	}
-	if len(r.tail) > 0 && r.tail[0].offset > o.Base || len(r.tail) == 0 && r.end > o.Base {
+	if !r.whole() {
 		err := fault.NotRun(fault.Duplicate, "request %s already ran; its answer is gone", r.id.Request)
 		w.refuse(s, err.WithRan(r.ran()))
 		return
 	}
+	if r.stream != 0 && r.phase != ended && !o.Idempotent {
+		r.followers = append(r.followers, s)
+		w.streams[s] = r
+		w.sendTo(s, w.grantedReply())
+		return
+	}
 	w.attach(s, r)
-	w.replay(r, o.Base)
+	w.replayTo(s, r, o.Base)
+}
+
+// whole reports whether the answer is still kept from its beginning.
+func (r *run) whole() bool {
+	if len(r.tail) == 0 {
+		return r.end == r.open.Base
+	}
+	return r.tail[0].offset == r.open.Base
 }
 
 func (w *Worker) refuse(s StreamID, err *fault.Error) {
@@ -400,7 +427,7 @@
 
 func (w *Worker) reopened(e Reopened) {
 	id := RunID{e.Resume.Request, e.Resume.Attempt, e.Resume.Stage}
-	r := w.runs[id]
+	r := w.existing(id, &wire.Open{})
 	if r == nil {
 		err := fault.NotRun(fault.Unclear, "run %s is not known here", id)
 		w.refuse(e.Stream, err.WithRan(wire.Ran_RAN_UNKNOWN))
@@ -408,25 +435,30 @@
 	}
 	w.attach(e.Stream, r)
 	w.trace(trace.Resumed, r, "")
-	w.replay(r, e.Resume.Offset)
+	w.replayTo(e.Stream, r, e.Resume.Offset)
 }
 
-// replay sends again all that the entry has not passed on.
-func (w *Worker) replay(r *run, offset int64) {
+// replayTo sends all that a stream's entry has not passed on.
+func (w *Worker) replayTo(s StreamID, r *run, offset int64) {
 	if r.phase != queued {
-		w.sendGranted(r)
+		w.sendTo(s, w.grantedReply())
 	}
 	if r.head != nil {
-		w.send(r, &wire.RunReply{Kind: &wire.RunReply_Head{Head: r.head}})
+		w.sendTo(s, headReply(r))
 	}
 	for _, c := range r.tail {
 		if c.offset >= offset {
-			w.sendChunk(r, c)
+			w.sendTo(s, chunkReply(c))
 		}
 	}
-	w.sendEnd(r)
+	if m := w.endReply(r); m != nil {
+		w.sendTo(s, m)
+	}
+	r.nextBeat = w.now.Add(w.beat)
 }
 
+func (w *Worker) sendTo(s StreamID, m *wire.RunReply) { w.emit(Send{s, m}) }
+
 func (w *Worker) send(r *run, m *wire.RunReply) {
 	if r.stream == 0 {
 		return
@@ -435,22 +467,36 @@
 	w.emit(Send{r.stream, m})
 }
 
-func (w *Worker) sendGranted(r *run) {
+func (w *Worker) grantedReply() *wire.RunReply {
 	m := &wire.Granted{Incarnation: w.incarnation}
-	w.send(r, &wire.RunReply{Kind: &wire.RunReply_Granted{Granted: m}, Load: w.Load()})
+	return &wire.RunReply{Kind: &wire.RunReply_Granted{Granted: m}, Load: w.Load()}
 }
 
-func (w *Worker) sendChunk(r *run, c chunk) {
+func headReply(r *run) *wire.RunReply {
+	return &wire.RunReply{Kind: &wire.RunReply_Head{Head: r.head}}
+}
+
+func chunkReply(c chunk) *wire.RunReply {
 	d := &wire.Data{Offset: c.offset, Data: c.data, Tokens: c.tokens}
-	w.send(r, &wire.RunReply{Kind: &wire.RunReply_Data{Data: d}})
+	return &wire.RunReply{Kind: &wire.RunReply_Data{Data: d}}
 }
 
-func (w *Worker) sendEnd(r *run) {
+// endReply returns the message that ends a run, or nil while it has not ended.
+func (w *Worker) endReply(r *run) *wire.RunReply {
 	switch {
 	case r.done != nil:
-		w.send(r, &wire.RunReply{Kind: &wire.RunReply_Done{Done: r.done}, Load: w.Load()})
+		return &wire.RunReply{Kind: &wire.RunReply_Done{Done: r.done}, Load: w.Load()}
 	case r.fail != nil:
-		w.send(r, failReply(w.now, r.fail, w.Load()))
+		return failReply(w.now, r.fail, w.Load())
+	}
+	return nil
+}
+
+// sendEnd tells the end of a run, and the whole answer to those that followed it.
+func (w *Worker) sendEnd(r *run) {
+	w.send(r, w.endReply(r))
+	for _, s := range r.followers {
+		w.replayTo(s, r, r.open.Base)
 	}
 }
 
@@ -464,7 +510,7 @@
 		w.busy++
 		r.phase = granted
 		w.trace(trace.Granted, r, "")
-		w.sendGranted(r)
+		w.send(r, w.grantedReply())
 		if r.id.Stage != wire.Stage_STAGE_DECODE {
 			w.start(r, nil)
 		}
@@ -495,6 +541,10 @@
 	if r == nil {
 		return
 	}
+	if e.Stream != r.stream {
+		w.ackedByFollower(e, r)
+		return
+	}
 	r.acked = max(r.acked, min(e.Offset, r.end))
 	if r.paused && r.end-r.acked <= DefaultWindow/2 {
 		r.paused = false
@@ -547,14 +597,26 @@
 	}
 }
 
+// detach takes a run's stream away. The first follower takes its place.
 func (w *Worker) detach(r *run) {
 	delete(w.streams, r.stream)
 	r.stream = 0
+	if len(r.followers) == 0 || !r.whole() {
+		return
+	}
+	s := r.followers[0]
+	r.followers = r.followers[1:]
+	w.attach(s, r)
+	w.replayTo(s, r, r.open.Base)
 }
 
 func (w *Worker) closed(s StreamID) {
 	r := w.streams[s]
-	if r == nil {
+	switch {
+	case r == nil:
+		return
+	case s != r.stream:
+		w.unfollow(s, r)
 		return
 	}
 	w.detach(r)
@@ -563,6 +625,18 @@
 	}
 }
 
+func (w *Worker) unfollow(s StreamID, r *run) {
+	delete(w.streams, s)
+	r.followers = slices.DeleteFunc(r.followers, func(f StreamID) bool { return f == s })
+}
+
+func (w *Worker) ackedByFollower(e Acked, r *run) {
+	if r.phase == ended && e.Offset >= r.end {
+		w.unfollow(e.Stream, r)
+		w.emit(Close{e.Stream})
+	}
+}
+
 // stop ends a run whose caller is gone. A call that isn't idempotent and has
 // started goes on, so that its outcome is known.
 func (w *Worker) stop(s StreamID) {
@@ -570,12 +644,19 @@
 	if r == nil {
 		return
 	}
-	w.detach(r)
 	w.emit(Close{s})
+	if s != r.stream {
+		w.unfollow(s, r)
+		return
+	}
+	w.detach(r)
 	w.abandon(r, trace.Cancelled)
 }
 
 func (w *Worker) abandon(r *run, k trace.Kind) {
+	if r.stream != 0 {
+		return
+	}
 	if r.phase == running && !r.open.Idempotent {
 		r.stopped = true
 		return
@@ -605,9 +686,13 @@
 
 // forget drops a run and keeps its record.
 func (w *Worker) forget(r *run) {
-	if r.stream != 0 {
-		w.detach(r)
+	for _, s := range append(r.followers, r.stream) {
+		if s != 0 {
+			w.emit(Close{s})
+		}
+		delete(w.streams, s)
 	}
+	r.followers, r.stream = nil, 0
 	delete(w.runs, r.id)
 	rec := w.record(r.id.Request)
 	if r.started {
@@ -639,9 +724,6 @@
 			continue
 		}
 		w.trace(trace.Cancelled, r, "asked")
-		if r.stream != 0 {
-			w.emit(Close{r.stream})
-		}
 		w.release(r)
 		w.forget(r)
 	}
@@ -663,7 +745,7 @@
 		return
 	}
 	r.head = e.Head
-	w.send(r, &wire.RunReply{Kind: &wire.RunReply_Head{Head: e.Head}})
+	w.send(r, headReply(r))
 }
 
 func (w *Worker) callData(e CallData) {
@@ -680,7 +762,7 @@
 		}
 		return
 	}
-	w.sendChunk(r, c)
+	w.send(r, chunkReply(c))
 	if !r.paused && r.end-r.acked > DefaultWindow {
 		r.paused = true
 		w.emit(Throttle{r.id, true})
@@ -744,7 +826,7 @@
 		case r.phase == queued && !w.now.Before(r.startBy):
 			w.giveUp(r)
 		case r.stream != 0 && !w.now.Before(r.nextBeat):
-			w.send(r, &wire.RunReply{Kind: &wire.RunReply_Beat{Beat: &wire.Beat{}}, Load: w.Load()})
+			w.sendBeat(r)
 		}
 	}
 	for id, rec := range w.records {
@@ -754,6 +836,14 @@
 	}
 }
 
+func (w *Worker) sendBeat(r *run) {
+	m := &wire.RunReply{Kind: &wire.RunReply_Beat{Beat: &wire.Beat{}}, Load: w.Load()}
+	w.send(r, m)
+	for _, s := range r.followers {
+		w.sendTo(s, m)
+	}
+}
+
 func (w *Worker) expire(r *run) {
 	if r.stream != 0 {
 		w.emit(Close{r.stream})
@@ -769,9 +859,12 @@
 
 func (w *Worker) fail(r *run, err *fault.Error) {
 	w.trace(trace.Refused, r, string(err.Code))
+	w.bury(r.open, err)
 	w.release(r)
-	if r.stream != 0 {
-		w.refuse(r.stream, err)
+	for _, s := range append(r.followers, r.stream) {
+		if s != 0 {
+			w.refuse(s, err)
+		}
 	}
 	w.forget(r)
 }
