spread: changes in force everywhere, measured at the planned size

Cause: nothing showed that a change is in force within 3 s, that reads stay within the platform's limit, nor that no process goes back. Ruled out: a reader in every process (1,140 watches a second at a 1 s wait). Change: tests over the reducer with a fake network; the rank of a VM is computed once a list.

--- a/coord/fake/fleet.go
+++ b/coord/fake/fleet.go
@@ -124,6 +124,20 @@
 	return nil
 }
 
+// PutAll publishes VMs as one change.
+func (f *Fleet) PutAll(vms []fleet.VM) {
+	f.Platform.revision++
+	for _, v := range vms {
+		b, err := json.Marshal(v)
+		if err != nil {
+			panic(err)
+		}
+		r := f.Platform.revision
+		k := spread.VMPrefix + v.Name
+		f.Platform.items[k] = &wire.Change{Key: k, Value: b, Revision: r, Created: r}
+	}
+}
+
 // List publishes a VM.
 func (f *Fleet) List(v fleet.VM) {
 	b, err := json.Marshal(v)
--- a/coord/router/path_test.go
+++ b/coord/router/path_test.go
@@ -218,8 +218,8 @@
 	try(2)
 }
 
-// fault brings about one fault and returns a function that ends it.
-func fault(t *rapid.T, p *fake.Path) func() {
+// disturb brings about one fault and returns a function that ends it.
+func disturb(t *rapid.T, p *fake.Path) func() {
 	var names []string
 	for _, v := range agents() {
 		names = append(names, v.Name)
@@ -261,10 +261,10 @@
 	load(p, 20*time.Second)
 	for range rapid.IntRange(1, 4).Draw(t, "faults") {
 		p.Run(time.Duration(rapid.IntRange(0, 4000).Draw(t, "wait ms")) * time.Millisecond)
-		end := fault(t, p)
+		end := disturb(t, p)
 		p.Run(time.Duration(rapid.IntRange(0, 8000).Draw(t, "length ms")) * time.Millisecond)
 		if rapid.Bool().Draw(t, "overlap") {
-			other := fault(t, p)
+			other := disturb(t, p)
 			p.Run(time.Duration(rapid.IntRange(0, 4000).Draw(t, "length ms")) * time.Millisecond)
 			other()
 		}
--- a/coord/spread/spread.go
+++ b/coord/spread/spread.go
@@ -142,12 +142,15 @@
 	readDue     time.Time
 	compareDue  time.Time
 	heard       map[string]bool
-	authority   *quota.Authority
-	authorized  Authorized
-	term        time.Duration
-	margin      time.Duration
-	now         time.Time
-	effects     []Effect
+	// ranked is the list for which rankCache holds the rank.
+	ranked     *fleet.List
+	rankCache  int
+	authority  *quota.Authority
+	authorized Authorized
+	term       time.Duration
+	margin     time.Duration
+	now        time.Time
+	effects    []Effect
 }
 
 // Option changes a default.
@@ -170,6 +173,7 @@
 		rand:        rand.New(rand.NewPCG(incarnation, fleet.Score(vm, dataCentre))),
 		born:        now,
 		heard:       map[string]bool{},
+		rankCache:   watchers,
 		term:        quota.DefaultTerm,
 		margin:      quota.DefaultMargin,
 	}
@@ -253,6 +257,14 @@
 
 // rank returns the position of this VM among those of its data centre.
 func (s *Spread) rank() int {
+	if s.ranked != s.store.list {
+		s.ranked = s.store.list
+		s.rankCache = s.computeRank()
+	}
+	return s.rankCache
+}
+
+func (s *Spread) computeRank() int {
 	vms := s.store.list.All(func(v fleet.VM) bool {
 		return v.DataCentre == s.dataCentre && v.State == fleet.Live
 	})
--- /dev/null
+++ b/coord/spread/spread_test.go
@@ -0,0 +1,213 @@
+package spread_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"cranberrypoint.example/coord/fake"
+	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/quota"
+	"pgregory.net/rapid"
+)
+
+// Seed and number of checks of the randomised runs; the environment changes them for
+// long runs.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := func(name, variable, value string) {
+		if v := os.Getenv(variable); v != "" {
+			value = v
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	set("rapid.seed", "CRANBERRYPOINT_TEST_SEED", "20303")
+	set("rapid.checks", "CRANBERRYPOINT_TEST_CHECKS", "60")
+	set("rapid.nofailfile", "", "true")
+	set("rapid.shrinktime", "", "5s")
+	os.Exit(m.Run())
+}
+
+// inForce is the users' bound for a change to be in force everywhere.
+const inForce = 3 * time.Second
+
+// maxReads is the platform's limit of reads a second.
+const maxReads = 2000
+
+const doc = `
+root: {data-centres: [c0, c1]}
+workspaces:
+  w: {rate: 1, burst: 10}
+`
+
+func vms(centres, each int) []fleet.VM {
+	var r []fleet.VM
+	for c := range centres {
+		for i := range each {
+			n := fmt.Sprintf("c%d-%03d", c, i)
+			r = append(r, fleet.VM{Name: n, Role: fleet.Entry, DataCentre: fmt.Sprintf("c%d", c), Address: n, State: fleet.Live})
+		}
+	}
+	return r
+}
+
+func boot(seed uint64, f fake.Faults, centres, each int) *fake.Fleet {
+	x := fake.NewFleet(seed, f)
+	x.Term = quota.DefaultTerm
+	if err := x.PutDoc(doc); err != nil {
+		panic(err)
+	}
+	all := vms(centres, each)
+	x.PutAll(all)
+	for _, v := range all {
+		x.Start(v)
+	}
+	return x
+}
+
+func change(f *fake.Fleet, rate int) {
+	f.Platform.Put("workspaces/w", fmt.Appendf(nil, "{rate: %d, burst: 10}", rate))
+}
+
+// slowest returns how long the last process took to adopt a revision or a newer one.
+func slowest(t interface{ Fatalf(string, ...any) }, f *fake.Fleet, revision uint64, since time.Time) time.Duration {
+	worst := time.Duration(0)
+	for _, n := range f.Names {
+		p := f.Processes[n]
+		if p == nil {
+			continue
+		}
+		best, found := time.Duration(0), false
+		for r, at := range p.Adopted {
+			if d := at.Sub(since); r >= revision && (!found || d < best) {
+				best, found = d, true
+			}
+		}
+		if !found {
+			t.Fatalf("%s never adopted revision %d", n, revision)
+		}
+		worst = max(worst, best)
+	}
+	return worst
+}
+
+var network = fake.Faults{MinDelay: 500 * time.Microsecond, MaxDelay: 5 * time.Millisecond}
+
+// perCentre returns the processes of one of seven data centres: an eighth of the planned
+// size, or all of it when the environment asks for it.
+func perCentre() int {
+	const planned = 163
+	if os.Getenv("CRANBERRYPOINT_TEST_SIZE") == "full" {
+		return planned
+	}
+	return planned / 8
+}
+
+func TestChangesInForceInTime(t *testing.T) {
+	f := boot(1, network, 7, perCentre())
+	f.Run(10 * time.Second)
+	reads := f.Platform.Reads
+	worst := time.Duration(0)
+	const changes = 5
+	for i := range changes {
+		since := f.Now()
+		change(f, i+2)
+		revision := f.Platform.Revision()
+		f.Run(inForce)
+		worst = max(worst, slowest(t, f, revision, since))
+	}
+	rate := float64(f.Platform.Reads-reads) / (changes * inForce.Seconds())
+	t.Logf("%d processes: in force everywhere after %v at most, %.1f reads a second", len(f.Names), worst, rate)
+	if worst > inForce {
+		t.Errorf("a change took %v, want at most %v", worst, inForce)
+	}
+	if rate > maxReads {
+		t.Errorf("%.1f reads a second, want at most %d", rate, maxReads)
+	}
+}
+
+func TestReadsWhileThePlatformIsDown(t *testing.T) {
+	f := boot(1, network, 7, perCentre())
+	f.Run(10 * time.Second)
+	f.Platform.Down = true
+	sent := f.Sent
+	f.Run(10 * time.Second)
+	f.Platform.Down = false
+	before := f.Platform.Reads
+	f.Run(5 * time.Second)
+	reads := f.Platform.Reads - before
+	t.Logf("%.1f reads a second after an outage, %d messages in it", float64(reads)/5, f.Sent-sent)
+	if float64(reads)/5 > maxReads {
+		t.Errorf("%d reads in 5 s after an outage, want at most %d a second", reads, maxReads)
+	}
+}
+
+func TestNewProcessLearnsFromPeersWhileThePlatformIsDown(t *testing.T) {
+	f := boot(1, network, 2, 4)
+	f.Run(5 * time.Second)
+	f.Platform.Down = true
+	n := f.Start(fleet.VM{Name: "c0-new", Role: fleet.Entry, DataCentre: "c0", Address: "c0-new", State: fleet.Live})
+	f.Run(inForce)
+	if n.Spread.Revision() != f.Platform.Revision() || !n.Spread.Settled(f.Now()) {
+		t.Errorf("the new process has revision %d, want %d", n.Spread.Revision(), f.Platform.Revision())
+	}
+}
+
+// TestNoProcessGoesBack restarts, freezes and cuts processes off beside a platform that
+// is stale or down at times.
+func TestNoProcessGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := boot(rapid.Uint64().Draw(t, "seed"), fake.Faults{Loss: 0.05, Duplicate: 0.05, MinDelay: time.Millisecond, MaxDelay: 200 * time.Millisecond}, 2, 5)
+		newest := map[string]uint64{}
+		f.Check = func(p *fake.Process) {
+			key := fmt.Sprintf("%s/%d", p.VM.Name, f.Life(p.VM.Name))
+			r := p.Tree.Revision()
+			if r < newest[key] {
+				t.Fatalf("%s went back from revision %d to %d", key, newest[key], r)
+			}
+			newest[key] = r
+		}
+		f.Run(5 * time.Second)
+		for i := range rapid.IntRange(3, 10).Draw(t, "steps") {
+			disturb(t, f, i)
+			f.Run(time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait ms")) * time.Millisecond)
+		}
+		f.Platform.Stale, f.Platform.Down = false, false
+		f.Cut = func(string, string) bool { return false }
+		for _, n := range f.Names {
+			f.Thaw(n)
+		}
+		since := f.Now()
+		f.Run(10 * time.Second)
+		slowest(t, f, f.Platform.Revision(), since)
+	})
+}
+
+func disturb(t *rapid.T, f *fake.Fleet, i int) {
+	name := rapid.SampledFrom(f.Names).Draw(t, "vm")
+	switch rapid.SampledFrom([]string{"change", "change", "restart", "freeze", "thaw", "stale", "down", "up", "cut", "heal"}).Draw(t, "step") {
+	case "change":
+		change(f, i+2)
+	case "restart":
+		f.Start(f.Processes[name].VM)
+	case "freeze":
+		f.Freeze(name)
+	case "thaw":
+		f.Thaw(name)
+	case "stale":
+		f.Platform.Freeze()
+		f.Platform.Stale = true
+	case "down":
+		f.Platform.Down = true
+	case "up":
+		f.Platform.Stale, f.Platform.Down = false, false
+	case "cut":
+		f.Cut = func(from, to string) bool { return from[:2] == "c0" != (to[:2] == "c0") }
+	case "heal":
+		f.Cut = func(string, string) bool { return false }
+	}
+}
