router: a request waits for an upstream while it may still start in time

Cause: the script that kills the only decode agent in mid-answer cut the answer at once (testdata/kill.txtar): the agent was avoided for the rest of the request and no other was left. Four attempts at a dead agent took 0.2 s. Ruled out: a longer list of attempts, which ends as soon. Change: such a request is parked and looks again every 100 ms, at failed agents too, until its start deadline, or its last one once data was passed on; attempts that reached nobody don't count. Ports of the scripts no longer collide (one boot in three failed with four scripts at a time). Before: 'no decode upstream can be reached' after 0.2 s.

--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -20,6 +20,8 @@
 	prefilling
 	// answering receives the answer.
 	answering
+	// parked waits for an upstream that can be reached.
+	parked
 	// unclear asks the agent whether the request ran.
 	unclear
 )
@@ -64,7 +66,9 @@
 	tokens   int64
 	headSent bool
 	usage    Usage
-	askAgain time.Time
+	failures int
+	// again is when a parked or unclear request is looked at next.
+	again time.Time
 }
 
 func (r *request) name() string { return r.call.Name }
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -24,8 +24,10 @@
 
 // Limits of retries.
 const (
-	// maxAttempts bounds the runs of one request at different agents.
-	maxAttempts = 4
+	// maxFailures bounds the failed runs of one request that reached an agent.
+	maxFailures = 4
+	// parkDelay is the time between two looks for an upstream.
+	parkDelay = 100 * time.Millisecond
 	// maxResumes bounds the streams opened for one run after the first.
 	maxResumes = 2
 	// againDelay is when to come back after a lack of upstreams.
@@ -289,7 +291,7 @@
 		v, ok = r.owner(q)
 	}
 	if !ok {
-		r.finish(q, r.nowhere(q, stage))
+		r.park(q, stage)
 		return
 	}
 	if until, gone := r.forgotten(q, v.Name); q.keyed() && gone {
@@ -317,6 +319,24 @@
 	r.emit(OpenRun{q.main.ref, v.Name, q.openMain(r.now, r.tree.Revision())})
 }
 
+// park lets a request wait for an upstream, also for those that failed it, while it may
+// still start in time.
+func (r *Router) park(q *request, stage string) {
+	again := r.now.Add(parkDelay)
+	limit := q.startBy
+	if q.offset > 0 {
+		limit = q.deadline
+	}
+	if !again.Before(limit) || q.keyed() {
+		r.finish(q, r.nowhere(q, stage))
+		return
+	}
+	r.stop(&q.main)
+	q.phase = parked
+	q.again = again
+	clear(q.avoid)
+}
+
 func (r *Router) nowhere(q *request, stage string) *fault.Error {
 	err := fault.NotRun(fault.Unreachable, "no %s upstream of service %s can be reached", stage, q.service)
 	return err.WithRan(q.ran).WithAgain(r.now.Add(againDelay))
@@ -379,7 +399,7 @@
 func (r *Router) openPrefill(q *request) {
 	v, ok := r.choose(q, fleet.Prefill)
 	if !ok {
-		r.finish(q, r.nowhere(q, fleet.Prefill))
+		r.park(q, fleet.Prefill)
 		return
 	}
 	q.prefills++
@@ -516,8 +536,11 @@
 
 // retry runs a request, or only its prefill, at another agent.
 func (r *Router) retry(q *request, t *target, err *fault.Error) {
+	if err.Code != fault.Unreachable {
+		q.failures++
+	}
 	late := !r.now.Before(q.deadline)
-	spent := q.attempts >= maxAttempts || q.prefills >= 2*maxAttempts
+	spent := q.failures >= maxFailures
 	answered := q.headSent && !q.generated
 	if late || spent || answered {
 		r.finish(q, err.WithRan(q.ran))
@@ -591,7 +614,7 @@
 // askOutcome asks the agent of a request that isn't idempotent whether it ran.
 func (r *Router) askOutcome(q *request) {
 	q.phase = unclear
-	q.askAgain = r.now.Add(askDelay)
+	q.again = r.now.Add(askDelay)
 	r.ask(q, &q.main)
 }
 
@@ -677,8 +700,11 @@
 		case q.deadline.IsZero():
 		case !r.now.Before(q.deadline):
 			r.finish(q, q.tooLate())
-		case q.phase == unclear && !r.now.Before(q.askAgain):
+		case r.now.Before(q.again):
+		case q.phase == unclear:
 			r.askOutcome(q)
+		case q.phase == parked:
+			r.place(q)
 		}
 	}
 	for n, until := range r.unreached {
--- a/local/script/cmds_test.go
+++ b/local/script/cmds_test.go
@@ -249,3 +249,11 @@
 	}
 	s.Setenv("OPS", strings.Join(r, ","))
 }
+
+// sleep DURATION waits.
+func sleepCmd(s *testscript.TestScript, neg bool, args []string) {
+	plain(s, neg, args, 1, "sleep DURATION")
+	d, err := time.ParseDuration(args[0])
+	s.Check(err)
+	time.Sleep(d)
+}
--- a/local/script/fleet_test.go
+++ b/local/script/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,14 +58,28 @@
 	}
 }
 
-// port returns a free port of the loopback address.
+// Ports that the system does not hand out to outgoing connections.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// nextPort counts through the ports, from a start that differs between test runs.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 101) }
+
+// port returns the address of a free port that no other process of the tests was given.
 func port() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		p := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		a := fmt.Sprintf("127.0.0.1:%d", p)
+		if l, err := net.Listen("tcp", a); err == nil {
+			_ = l.Close()
+			return a, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 func ports(n int) (r []string, err error) {
--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -80,6 +80,7 @@
 			"effects":  effectsCmd,
 			"empty":    emptyCmd,
 			"ops":      opsCmd,
+			"sleep":    sleepCmd,
 		},
 	})
 }
