--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -67,6 +67,8 @@
 	headSent bool
 	usage    Usage
 	failures int
+	// feed is the KV cache that waits for a decode slot.
+	feed *wire.Feed
 	// again is when a parked or unclear request is looked at next.
 	again time.Time
 }
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -52,6 +52,8 @@
 	// goneAt is when this entry first knew that a VM is no longer listed.
 	goneAt   map[string]time.Time
 	draining bool
+	policy   Policy
+	turn     int
 	now      time.Time
 	effects  []Effect
 }
@@ -68,6 +70,7 @@
 func New(seed uint64, opts ...Option) *Router {
 	r := &Router{
 		seed:      seed,
+		policy:    DefaultPolicy,
 		tree:      tree.Empty(),
 		list:      fleet.NewList(0, nil),
 		loads:     newLoads(seed),
@@ -218,6 +221,9 @@
 		q.weight = v.Weight
 	}
 	q.startBy = r.now.Add(q.values.Patience)
+	if r.policy.Admit && q.generated && q.values.Class == tree.Interactive {
+		q.startBy = r.now.Add(min(q.values.Patience, q.values.FirstToken))
+	}
 	q.deadline = r.now.Add(q.values.Timeout)
 	if q.keyed() {
 		q.call.Name = keyedName(q.workspace, q.call.Route, q.call.IdempotencyKey)
@@ -299,6 +305,10 @@
 		r.finish(q, err.WithRan(wire.Ran_RAN_UNKNOWN).WithAgain(until))
 		return
 	}
+	if q.generated && !r.policy.Reserve && q.feed == nil {
+		r.openPrefill(q)
+		return
+	}
 	q.attempts++
 	q.phase = placing
 	q.prefill = target{}
@@ -376,9 +386,9 @@
 		}
 	}
 	if len(reached) > 0 {
-		return r.loads.choose(reached)
+		return r.pick(q, stage, reached)
 	}
-	return r.loads.choose(fit)
+	return r.pick(q, stage, fit)
 }
 
 func (r *Router) runGranted(e RunGranted) {
@@ -388,11 +398,14 @@
 	}
 	if t == &q.main && q.phase == placing {
 		r.trace(trace.Granted, q, t.vm, "")
-		if q.generated {
+		switch {
+		case !q.generated:
+			q.phase = answering
+		case q.feed != nil:
+			r.feed(q)
+		default:
 			r.openPrefill(q)
-			return
 		}
-		q.phase = answering
 	}
 }
 
@@ -495,10 +508,21 @@
 	q.usage.CachedTokens = d.CachedTokens
 	q.fed = true
 	q.mayHaveRun()
-	q.phase = answering
+	q.feed = &wire.Feed{Handle: d.Handle, Source: d.Source}
 	r.emit(AckRun{q.prefill.ref, d.Size})
+	if !q.main.live {
+		r.place(q)
+		return
+	}
+	r.feed(q)
+}
+
+// feed tells the granted main run where its KV cache is.
+func (r *Router) feed(q *request) {
+	q.phase = answering
 	r.trace(trace.Fed, q, q.main.vm, "")
-	r.emit(FeedRun{q.main.ref, &wire.Feed{Handle: d.Handle, Source: d.Source}})
+	r.emit(FeedRun{q.main.ref, q.feed})
+	q.feed = nil
 }
 
 func (r *Router) runFailed(f Ref, err *fault.Error) {
@@ -546,7 +570,7 @@
 		r.finish(q, err.WithRan(q.ran))
 		return
 	}
-	if t == &q.prefill && q.main.live {
+	if t == &q.prefill && (q.main.live || !r.policy.Reserve) {
 		r.openPrefill(q)
 		return
 	}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -38,6 +38,8 @@
 	conf.Common
 	// Callers is the address of the callers' HTTP server.
 	Callers string
+	// Policy replaces the router's default policy where it is not nil.
+	Policy *router.Policy
 }
 
 // Edge is a running entry.
@@ -87,6 +89,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
 	pool, closePool := link.NewPool(sec)
+	opts := []router.Option{router.WithVM(s.VM, s.DataCentre)}
+	if s.Policy != nil {
+		opts = append(opts, router.WithPolicy(*s.Policy))
+	}
 	e = &Edge{
 		settings: s,
 		log:      l,
@@ -98,7 +104,7 @@
 		callers:  ls[2].Addr().String(),
 		born:     now,
 		ctx:      ctx,
-		router:   router.New(uint64(now.UnixNano()), router.WithVM(s.VM, s.DataCentre)),
+		router:   router.New(uint64(now.UnixNano()), opts...),
 		list:     fleet.NewList(0, nil),
 		sinks:    map[router.ID]*sink{},
 		runs:     map[router.Ref]*run{},
--- a/local/world/world.go
+++ b/local/world/world.go
@@ -11,6 +11,7 @@
 	"cranberrypoint.example/coord/conf"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/router"
 	"cranberrypoint.example/entry/edge"
 	"cranberrypoint.example/local/stand"
 	"github.com/sirupsen/logrus"
@@ -34,6 +35,8 @@
 	PlainSlots  int
 	// Settings is a settings document.
 	Settings []byte
+	// Policy replaces the routers' default policy where it is not nil.
+	Policy *router.Policy
 	// Callers is the address of the first entry; the others take any port.
 	Callers string
 }
@@ -180,7 +183,7 @@
 }
 
 func (w *World) startEntry(dataCentre, name string) error {
-	s := edge.Settings{Common: w.common(dataCentre, name), Callers: anyPort}
+	s := edge.Settings{Common: w.common(dataCentre, name), Callers: anyPort, Policy: w.profile.Policy}
 	if len(w.Order) == 0 && w.profile.Callers != "" {
 		s.Callers = w.profile.Callers
 	}
