--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -54,6 +55,18 @@
 	End  bool   `json:"end,omitempty"`
 }
 
+// Order tells an engine to load or unload a model.
+type Order struct {
+	Fence uint64 `json:"fence"`
+	Model string `json:"model"`
+	Load  bool   `json:"load"`
+}
+
+// Fenced is the answer to an order that an engine refuses as old.
+type Fenced struct {
+	Newest uint64 `json:"newest"`
+}
+
 // Held lists what an engine holds.
 type Held struct {
 	Requests []string `json:"requests"`
@@ -113,6 +126,19 @@
 	return err
 }
 
+// Order gives an order. Newest is the engine's fencing number where it refused.
+func (c *Client) Order(ctx context.Context, o Order) (newest uint64, err error) {
+	defer fault.Annotate(&err, "order")
+	_, err = post[struct{}](ctx, c, "/v1/orders", o)
+	var s *StatusError
+	if errors.As(err, &s) && s.Status == http.StatusPreconditionFailed {
+		var f Fenced
+		_ = json.Unmarshal([]byte(s.Text), &f)
+		return f.Newest, err
+	}
+	return 0, err
+}
+
 // Held lists the requests that the engine holds memory for.
 func (c *Client) Held(ctx context.Context) (h Held, err error) {
 	defer fault.Annotate(&err, "list held requests")
--- a/agent/host/command.go
+++ b/agent/host/command.go
@@ -7,6 +7,7 @@
 
 	"cranberrypoint.example/coord/cmdln"
 	"cranberrypoint.example/coord/conf"
+	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/coord/worker"
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
@@ -74,6 +75,7 @@
 		return cmdln.Failure
 	}
 	defer stop()
+	opsrv.WatchInvariants(h.metrics.registry, l, h.trace)
 	l.WithField("address", h.Address()).WithField("ops", h.Ops()).Info("serving")
 	<-sig.Done()
 	cancel()
--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -17,6 +17,7 @@
 	"cranberrypoint.example/coord/fleet"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/opsrv"
+	"cranberrypoint.example/coord/orders"
 	"cranberrypoint.example/coord/quota"
 	"cranberrypoint.example/coord/spread"
 	"cranberrypoint.example/coord/tasks"
@@ -54,6 +55,7 @@
 	mu       sync.Mutex
 	worker   *worker.Worker
 	holder   *quota.Holder
+	orders   *orders.Orders
 	streams  map[worker.StreamID]*outbox
 	calls    map[worker.RunID]*call
 	answers  map[uint64]chan wire.Ran
@@ -113,6 +115,7 @@
 		ctx:      ctx,
 		worker:   worker.New(now, incarnation, worker.WithSlots(s.Slots)),
 		holder:   quota.NewHolder(),
+		orders:   orders.New(incarnation),
 		streams:  map[worker.StreamID]*outbox{},
 		calls:    map[worker.RunID]*call{},
 		answers:  map[uint64]chan wire.Ran{},
@@ -188,6 +191,7 @@
 	now := time.Now()
 	h.mu.Lock()
 	h.holder.Rebase(now, t, l, h.settings.VM, h.settings.DataCentre)
+	h.orders.Want(orders.Wanted(t, v.Service))
 	h.mu.Unlock()
 	h.trace.Add(now, trace.Event{Kind: trace.Adopted, Detail: revisionText(t, l)})
 	h.step(worker.Configured{Tree: t, Leaving: v.State == fleet.Leaving})
@@ -232,6 +236,7 @@
 		if err == nil {
 			h.step(worker.HeldListed{Names: held.Requests})
 		}
+		h.giveOrders()
 		select {
 		case <-t.C:
 		case <-h.ctx.Done():
@@ -240,6 +245,24 @@
 	}
 }
 
+// giveOrders tells the engine which models to load.
+func (h *Host) giveOrders() {
+	for {
+		h.mu.Lock()
+		o, ok := h.orders.Next(time.Now())
+		h.mu.Unlock()
+		if !ok {
+			return
+		}
+		ctx, cancel := context.WithTimeout(h.ctx, sweepTimeout)
+		newest, err := h.engine.Order(ctx, engine.Order{Fence: o.Fence, Model: o.Model, Load: o.Load})
+		cancel()
+		h.mu.Lock()
+		h.orders.Answered(time.Now(), orders.Answer{Order: o, Done: err == nil, Newest: newest})
+		h.mu.Unlock()
+	}
+}
+
 func (h *Host) step(e worker.Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/coord/worker/bench_test.go
@@ -0,0 +1,46 @@
+package worker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cranberrypoint.example/coord/wire"
+	"cranberrypoint.example/coord/worker"
+)
+
+// BenchmarkRun takes a decode run with eight tokens through the reducer, beside others
+// that run.
+func BenchmarkRun(b *testing.B) {
+	for _, n := range []int{0, 20, 80} {
+		b.Run(fmt.Sprintf("beside=%d", n), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			w := worker.New(now, 1, worker.WithSlots(n+1), worker.WithKeep(0))
+			for i := range n {
+				w.Step(now, worker.Opened{Stream: worker.StreamID(i + 1), Open: open(fmt.Sprint("r", i))})
+			}
+			b.ReportAllocs()
+			s := worker.StreamID(n)
+			for b.Loop() {
+				s++
+				oneRun(w, now, s)
+			}
+		})
+	}
+}
+
+func open(name string) *wire.Open {
+	return &wire.Open{Request: name, Attempt: 1, Stage: wire.Stage_STAGE_DECODE, Idempotent: true, PatienceMicros: 1e6, LeftMicros: 1e7}
+}
+
+func oneRun(w *worker.Worker, now time.Time, s worker.StreamID) {
+	id := worker.RunID{Request: "x", Attempt: 1, Stage: wire.Stage_STAGE_DECODE}
+	w.Step(now, worker.Opened{Stream: s, Open: open("x")})
+	w.Step(now, worker.Fed{Stream: s, Feed: &wire.Feed{Handle: "h"}})
+	for i := range int64(8) {
+		w.Step(now, worker.CallData{Run: id, Data: []byte("token "), Tokens: 1})
+		w.Step(now, worker.Acked{Stream: s, Offset: 6 * (i + 1)})
+	}
+	w.Step(now, worker.CallDone{Run: id, Done: &wire.Done{}})
+	w.Step(now, worker.Acked{Stream: s, Offset: 48})
+}
--- a/entry/edge/command.go
+++ b/entry/edge/command.go
@@ -7,6 +7,7 @@
 
 	"cranberrypoint.example/coord/cmdln"
 	"cranberrypoint.example/coord/conf"
+	"cranberrypoint.example/coord/opsrv"
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
 )
@@ -73,6 +74,7 @@
 		return cmdln.Failure
 	}
 	defer stop()
+	opsrv.WatchInvariants(e.metrics.registry, l, e.trace)
 	l.WithField("callers", e.Callers()).WithField("address", e.Address()).WithField("ops", e.Ops()).Info("serving")
 	<-sig.Done()
 	cancel()
--- a/local/stand/engine.go
+++ b/local/stand/engine.go
@@ -392,22 +392,16 @@
 	reply(w, struct{}{})
 }
 
-// Order tells an engine to load or unload a model.
-type Order struct {
-	Fence uint64 `json:"fence"`
-	Model string `json:"model"`
-	Load  bool   `json:"load"`
-}
-
 func (e *Engine) orders(w http.ResponseWriter, q *http.Request) {
-	o, ok := accept[Order](w, q)
+	o, ok := accept[engine.Order](w, q)
 	if !ok {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.profile.Fences && o.Fence < e.fence {
-		http.Error(w, "an order with a newer fencing number was carried out", http.StatusPreconditionFailed)
+		w.WriteHeader(http.StatusPreconditionFailed)
+		reply(w, engine.Fenced{Newest: e.fence})
 		return
 	}
 	e.fence = max(e.fence, o.Fence)
