--- a/coord/queue/queue.go
+++ b/coord/queue/queue.go
@@ -56,6 +56,18 @@
 	q.items = append(q.items, i)
 }
 
+// Ahead returns how many queued items would be served before a new one of a workspace.
+func (q *Queue[T]) Ahead(workspace string, batch bool, now time.Time) int {
+	n := Item[T]{Batch: batch, Aged: now.Add(1), start: max(q.virtual, q.finish[workspace]), seq: q.seq}
+	ahead := 0
+	for i := range q.items {
+		if before(&q.items[i], &n, now) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // Pop removes and returns the item to be served next.
 func (q *Queue[T]) Pop(now time.Time) (v T, ok bool) {
 	best := -1
--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -67,6 +67,10 @@
 	headSent bool
 	usage    Usage
 	failures int
+	// faulted is true once a run was lost after it had been given to an agent.
+	faulted bool
+	// last is why the last run failed.
+	last *fault.Error
 	// feed is the KV cache that waits for a decode slot.
 	feed *wire.Feed
 	// again is when a parked or unclear request is looked at next.
@@ -111,6 +115,16 @@
 	}
 }
 
+// startLimit is the time at which a run of the request must have started. A request
+// whose run was lost, or that has passed data on, may go on until its deadline; one that
+// found no slot may not.
+func (r *request) startLimit() time.Time {
+	if r.offset > 0 || r.faulted {
+		return r.deadline
+	}
+	return r.startBy
+}
+
 // openMain returns the first message of the request's main run.
 func (r *request) openMain(now time.Time, revision uint64) *wire.Open {
 	o := r.openAny(now, revision, r.main.ref)
@@ -139,10 +153,7 @@
 }
 
 func (r *request) openAny(now time.Time, revision uint64, f Ref) *wire.Open {
-	startBy := r.startBy
-	if f.Attempt > 1 || r.offset > 0 {
-		startBy = r.deadline
-	}
+	startBy := r.startLimit()
 	return &wire.Open{
 		Request:        r.call.Name,
 		Attempt:        f.Attempt,
--- a/local/load/run.go
+++ b/local/load/run.go
@@ -206,14 +206,11 @@
 	}
 }
 
-// prompt returns a text of a random size that shares its beginning with others.
+// prompt returns a text of a random size. Its first half is shared with others.
 func prompt(r *rand.Rand, p Profile, serial int) string {
 	size := 4 * int(p.MinPrompt+r.Int64N(p.MaxPrompt-p.MinPrompt+1))
 	head := fmt.Sprintf("report %d: ", r.IntN(p.Prefixes))
-	tail := fmt.Sprintf(" request %d", serial)
-	body := strings.Repeat(head, size/len(head)+1)
-	if size <= len(tail) {
-		return body[:size]
-	}
-	return body[:size-len(tail)] + tail
+	tail := fmt.Sprintf("request %d, ", serial)
+	shared := strings.Repeat(head, size/2/len(head)+1)[:size/2]
+	return shared + strings.Repeat(tail, size/2/len(tail)+1)[:size-size/2]
 }
