router, queue: admission by the time that prefill takes; drops cost nothing

Change: an interactive request waits for its slots for the target less the expected prefill (a mean time for each prompt token, learned) and 60 ms. The fair queue charges a workspace when an item is served.

--- a/coord/queue/queue.go
+++ b/coord/queue/queue.go
@@ -1,12 +1,13 @@
 // Package queue provides a weighted fair queue over workspaces.
 //
-// It is start-time fair queueing (Goyal, Vin and Cheng, 1996): each workspace's
-// items start at virtual times that advance by cost over weight, and the item with
-// the smallest start time goes first. Interactive items go before batch items that
-// haven't waited past their age deadline.
+// It is start-time fair queueing (Goyal, Vin and Cheng, 1996) with one difference:
+// a workspace is charged when an item is served, not when it is queued, so that items
+// that are dropped cost it nothing. Interactive items go before batch items that haven't
+// waited past their age deadline.
 package queue
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -22,17 +23,25 @@
 	// Aged is the time from which a batch item counts as interactive.
 	Aged  time.Time
 	Value T
+}
+
+// later reports whether an item waits for interactive ones.
+func (i *Item[T]) later(now time.Time) bool {
+	return i.Batch && now.Before(i.Aged)
+}
 
-	start float64
-	seq   uint64
+// work is the item's cost over its weight.
+func (i *Item[T]) work() float64 {
+	return float64(i.Cost) / float64(max(i.Weight, 1))
 }
 
 // Queue is a weighted fair queue. The zero value is ready for use.
 type Queue[T any] struct {
-	items   []Item[T]
-	finish  map[string]float64
+	// items are in the order of their arrival.
+	items []Item[T]
+	// served is the virtual time up to which each workspace was served.
+	served  map[string]float64
 	virtual float64
-	seq     uint64
 	cost    int64
 }
 
@@ -44,24 +53,29 @@
 
 // Push queues an item.
 func (q *Queue[T]) Push(i Item[T]) {
-	if q.finish == nil {
-		q.finish = map[string]float64{}
-	}
-	i.Weight = max(i.Weight, 1)
-	i.start = max(q.virtual, q.finish[i.Workspace])
-	i.seq = q.seq
-	q.seq++
 	q.cost += i.Cost
-	q.finish[i.Workspace] = i.start + float64(i.Cost)/float64(i.Weight)
 	q.items = append(q.items, i)
 }
 
+// tag returns the virtual time at which a workspace's next item starts.
+func (q *Queue[T]) tag(workspace string) float64 {
+	return max(q.virtual, q.served[workspace])
+}
+
 // Ahead returns how many queued items would be served before a new one of a workspace.
 func (q *Queue[T]) Ahead(workspace string, batch bool, now time.Time) int {
-	n := Item[T]{Batch: batch, Aged: now.Add(1), start: max(q.virtual, q.finish[workspace]), seq: q.seq}
+	queued := map[string]float64{}
+	tags := make([]float64, len(q.items))
+	for i := range q.items {
+		w := q.items[i].Workspace
+		tags[i] = q.tag(w) + queued[w]
+		queued[w] += q.items[i].work()
+	}
+	own := q.tag(workspace) + queued[workspace]
 	ahead := 0
 	for i := range q.items {
-		if before(&q.items[i], &n, now) {
+		later := q.items[i].later(now)
+		if later == batch && tags[i] <= own || batch && !later {
 			ahead++
 		}
 	}
@@ -72,32 +86,41 @@
 func (q *Queue[T]) Pop(now time.Time) (v T, ok bool) {
 	best := -1
 	for i := range q.items {
-		if best < 0 || before(&q.items[i], &q.items[best], now) {
+		if best < 0 || q.before(&q.items[i], &q.items[best], now) {
 			best = i
 		}
 	}
 	if best < 0 {
 		return v, false
 	}
-	q.virtual = max(q.virtual, q.items[best].start)
-	v = q.items[best].Value
+	i := q.items[best]
+	q.charge(&i)
 	q.remove(best)
-	return v, true
+	return i.Value, true
 }
 
-func before[T any](a, b *Item[T], now time.Time) bool {
+// before reports whether a goes before b, which arrived earlier.
+func (q *Queue[T]) before(a, b *Item[T], now time.Time) bool {
 	al, bl := a.later(now), b.later(now)
 	if al != bl {
-		return !al
-	}
-	if a.start != b.start {
-		return a.start < b.start
+		return bl
 	}
-	return a.seq < b.seq
+	return cmp.Less(q.tag(a.Workspace), q.tag(b.Workspace))
 }
 
-func (i *Item[T]) later(now time.Time) bool {
-	return i.Batch && now.Before(i.Aged)
+// charge moves the virtual time to an item's start and its workspace past it.
+func (q *Queue[T]) charge(i *Item[T]) {
+	if q.served == nil {
+		q.served = map[string]float64{}
+	}
+	start := q.tag(i.Workspace)
+	q.virtual = max(q.virtual, start)
+	q.served[i.Workspace] = start + i.work()
+	for w, s := range q.served {
+		if s <= q.virtual {
+			delete(q.served, w)
+		}
+	}
 }
 
 // Drop removes the items for which drop is true and returns their values.
@@ -114,8 +137,4 @@
 func (q *Queue[T]) remove(i int) {
 	q.cost -= q.items[i].Cost
 	q.items = append(q.items[:i], q.items[i+1:]...)
-	if len(q.items) == 0 {
-		clear(q.finish)
-		q.virtual = 0
-	}
 }
--- a/coord/router/admit.go
+++ b/coord/router/admit.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"time"
 
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/quota"
@@ -66,7 +67,7 @@
 	}
 	q.startBy = r.now.Add(q.values.Patience)
 	if r.policy.Admit && q.generated && q.values.Class == tree.Interactive {
-		q.startBy = r.now.Add(min(q.values.Patience, q.values.FirstToken))
+		q.startBy = r.now.Add(min(q.values.Patience, r.slack(q)))
 	}
 	q.deadline = r.now.Add(q.values.Timeout)
 	if q.keyed() {
@@ -84,6 +85,33 @@
 	return nil
 }
 
+// Bounds of how long an interactive request may wait for its slots.
+const (
+	// decodeStart covers the transfer of a KV cache and the first token.
+	decodeStart = 60 * time.Millisecond
+	// minSlack is granted also to prompts whose prefill takes longer than the target.
+	minSlack = 50 * time.Millisecond
+)
+
+// slack returns how long a request may wait for its slots and still have its first token
+// in time, by the mean time that prefills took for a token.
+func (r *Router) slack(q *request) time.Duration {
+	prefill := time.Duration(float64(q.call.PromptTokens) * r.perToken)
+	return max(q.values.FirstToken-prefill-decodeStart, minSlack)
+}
+
+// perTokenParts is one over the weight of the newest prefill in the mean.
+const perTokenParts = 16
+
+// learnPrefill takes in how long a prefill took.
+func (r *Router) learnPrefill(q *request) {
+	if q.prefill.granted.IsZero() || q.call.PromptTokens == 0 {
+		return
+	}
+	took := float64(r.now.Sub(q.prefill.granted)) / float64(q.call.PromptTokens)
+	r.perToken += (took - r.perToken) / perTokenParts
+}
+
 // keyedName returns the name that all requests with an idempotency key share.
 func keyedName(workspace, route, key string) string {
 	h := sha256.Sum256([]byte(workspace + "\x00" + route + "\x00" + key))
--- a/coord/router/place.go
+++ b/coord/router/place.go
@@ -128,6 +128,7 @@
 	if t == nil {
 		return
 	}
+	t.granted = r.now
 	if t == &q.main && q.phase == placing {
 		r.trace(trace.Granted, q, t.vm, "")
 		switch {
@@ -161,6 +162,7 @@
 }
 
 func (r *Router) prefillDone(q *request, d *wire.Done) {
+	r.learnPrefill(q)
 	q.prefill.live = false
 	q.usage.PromptTokens = d.PromptTokens
 	q.usage.CachedTokens = d.CachedTokens
--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -34,6 +34,7 @@
 	live    bool
 	resumes int
 	opened  time.Time
+	granted time.Time
 }
 
 type request struct {
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -51,6 +51,8 @@
 	draining bool
 	policy   Policy
 	turn     int
+	// perToken is the mean time of prefill for a prompt token, in nanoseconds.
+	perToken float64
 	now      time.Time
 	effects  []Effect
 }
