local, agent: request ids reach the service; orders and sizes measured

Cause: the scripts' check of effects was empty: the agent sent no X-Request-Id, so the stand-in counted all calls under one name, and the check passed over lines that it could not read. Change: the agent sets the header; the check fails on a line that it can't read. Before: the check could not fail.

--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -15,6 +15,9 @@
 	"cranberrypoint.example/coord/wire"
 )
 
+// RequestIDHeader carries the name of a request to the service.
+const RequestIDHeader = "X-Request-Id"
+
 // partSize is the size of the parts in which an answer is read, in bytes.
 const partSize = 16 << 10
 
@@ -61,6 +64,7 @@
 	for _, h := range o.Headers {
 		q.Header.Add(h.Name, h.Value)
 	}
+	q.Header.Set(RequestIDHeader, o.Request)
 	setLength(q)
 	h := c.once
 	if o.Idempotent {
--- a/coord/fake/fleet.go
+++ b/coord/fake/fleet.go
@@ -97,6 +97,8 @@
 	Unsealed bool
 	// Calls counts questions to holders.
 	Calls int
+	// Exchanged is called for each digest that is sent.
+	Exchanged func(from, to string, d *wire.Digest)
 	// Check is called after each step of a process.
 	Check func(*Process)
 }
@@ -267,6 +269,12 @@
 	f.After(2*CallTimeout, func() { done(spread.ReadAnswered{Err: errTimeout}) })
 }
 
+func (f *Fleet) note(from, to string, d *wire.Digest) {
+	if f.Exchanged != nil {
+		f.Exchanged(from, to, d)
+	}
+}
+
 var errTimeout = fmt.Errorf("no answer in time")
 
 func (f *Fleet) exchange(p *Process, x spread.Exchange) {
@@ -280,9 +288,11 @@
 			}
 		})
 	}
+	f.note(name, x.Address, x.Digest)
 	f.Send(name, x.Address, func() {
 		if q := f.Processes[x.Address]; q != nil {
 			a := f.step(q, spread.Asked{Ask: 1, Digest: x.Digest})
+			f.note(x.Address, name, a)
 			f.Send(x.Address, name, func() { done(a) })
 		}
 	})
--- a/coord/router/path_test.go
+++ b/coord/router/path_test.go
@@ -1,7 +1,6 @@
 package router_test
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"os"
@@ -19,22 +18,8 @@
 	"pgregory.net/rapid"
 )
 
-// Seed and number of checks of the randomised runs; the environment changes them for
-// long runs.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := func(name, variable, value string) {
-		if v := os.Getenv(variable); v != "" {
-			value = v
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	set("rapid.seed", "CRANBERRYPOINT_TEST_SEED", "20302")
-	set("rapid.checks", "CRANBERRYPOINT_TEST_CHECKS", "100")
-	set("rapid.nofailfile", "", "true")
-	set("rapid.shrinktime", "", "5s")
+	fake.FixRuns("20302", "100")
 	os.Exit(m.Run())
 }
 
--- a/coord/spread/spread_test.go
+++ b/coord/spread/spread_test.go
@@ -1,7 +1,6 @@
 package spread_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -13,22 +12,8 @@
 	"pgregory.net/rapid"
 )
 
-// Seed and number of checks of the randomised runs; the environment changes them for
-// long runs.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := func(name, variable, value string) {
-		if v := os.Getenv(variable); v != "" {
-			value = v
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	set("rapid.seed", "CRANBERRYPOINT_TEST_SEED", "20303")
-	set("rapid.checks", "CRANBERRYPOINT_TEST_CHECKS", "60")
-	set("rapid.nofailfile", "", "true")
-	set("rapid.shrinktime", "", "5s")
+	fake.FixRuns("20303", "60")
 	os.Exit(m.Run())
 }
 
--- a/local/load.go
+++ b/local/load.go
@@ -38,6 +38,7 @@
 	greed   float64
 	length  time.Duration
 	seed    uint64
+	slots   int
 	fault   string
 	faultAt float64
 	json    bool
@@ -59,6 +60,7 @@
 	f.Float64Var(&c.greed, "greed", 4, "factor of -greedy")
 	f.DurationVar(&c.length, "length", 30*time.Second, "time of arrivals")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the arrivals")
+	f.IntVar(&c.slots, "slots", 0, "decode slots of each engine (default: those of the profile)")
 	f.StringVar(&c.fault, "fault", string(load.NoFault), "fault: none, kill-decode, kill-prefill, platform-down or platform-stale")
 	f.Float64Var(&c.faultAt, "fault-at", 0.4, "time of the fault as a part of -length")
 	f.BoolVar(&c.json, "json", false, "print JSON")
@@ -144,6 +146,9 @@
 		Fault:   load.Fault(c.fault),
 		FaultAt: c.faultAt,
 	}
+	if c.slots > 0 {
+		o.Profile.Engine.Slots = c.slots
+	}
 	if !c.quiet {
 		o.Progress = func(done, sent int) { fmt.Fprintf(os.Stderr, "\r%s: %d of %d answered", policy, done, sent) }
 	}
--- a/local/script/cmds_test.go
+++ b/local/script/cmds_test.go
@@ -200,8 +200,11 @@
 		for _, l := range strings.Split(strings.TrimSpace(b), "\n") {
 			var id string
 			var count int
-			if _, err := fmt.Sscan(l, &id, &count); err == nil && count > limit {
-				s.Fatalf("request %s had %d effects at %s", id, count, n)
+			if l == "" {
+				continue
+			}
+			if _, err := fmt.Sscan(l, &id, &count); err != nil || count > limit {
+				s.Fatalf("request %s had %d effects at %s (%v)", id, count, n, err)
 			}
 		}
 	}
@@ -257,3 +260,26 @@
 	s.Check(err)
 	time.Sleep(d)
 }
+
+// engines MODEL... waits until each engine has just these models loaded.
+func enginesCmd(s *testscript.TestScript, neg bool, args []string) {
+	plain(s, neg, args, 1, "engines MODEL...")
+	end := time.Now().Add(patience)
+	for n, u := range of(s).upstream {
+		if strings.HasSuffix(n, fleet.Plain) {
+			continue
+		}
+		for {
+			var got []string
+			s.Check(json.Unmarshal([]byte(get(s, u+"/control/models")), &got))
+			diff := cmp.Diff(args, got)
+			if diff == "" {
+				break
+			}
+			if time.Now().After(end) {
+				s.Fatalf("models of %s (-want +got):\n%s", n, diff)
+			}
+			time.Sleep(poll)
+		}
+	}
+}
--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -81,6 +81,7 @@
 			"empty":    emptyCmd,
 			"ops":      opsCmd,
 			"sleep":    sleepCmd,
+			"engines":  enginesCmd,
 		},
 	})
 }
--- a/local/stand/engine.go
+++ b/local/stand/engine.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,6 +117,13 @@
 	return e.counts
 }
 
+// Models returns the models that are loaded, in order.
+func (e *Engine) Models() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.models))
+}
+
 // Handler returns the HTTP interface of the engine.
 func (e *Engine) Handler() http.Handler {
 	m := mux.NewRouter()
@@ -126,6 +135,7 @@
 	m.HandleFunc("/v1/orders", e.orders).Methods(http.MethodPost)
 	m.HandleFunc("/v1/held", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Held()) })
 	m.HandleFunc("/v1/load", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.lagging()) })
+	m.HandleFunc("/control/models", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Models()) })
 	m.HandleFunc("/control/counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Counts()) })
 	return m
 }
