--- a/coord/router/place.go
+++ b/coord/router/place.go
@@ -31,7 +31,7 @@
 		r.park(q, stage)
 		return
 	}
-	if until, gone := r.forgotten(q, v.Name); q.keyed() && gone {
+	if until, gone := r.forgotten(q, v.Name); gone {
 		err := fault.NotRun(fault.Forgotten, "an upstream that is gone may have run the request")
 		r.finish(q, err.WithRan(wire.Ran_RAN_UNKNOWN).WithAgain(until))
 		return
@@ -49,9 +49,6 @@
 		live:   true,
 		opened: r.now,
 	}
-	if q.first.IsZero() {
-		q.first = r.now
-	}
 	if !q.generated {
 		q.mayHaveRun()
 	}
@@ -94,6 +91,9 @@
 // forgotten reports whether a VM that is gone from the list may have run a repetition
 // of a keyed request, and until when.
 func (r *Router) forgotten(q *request, owner string) (until time.Time, ok bool) {
+	if !q.keyed() {
+		return time.Time{}, false
+	}
 	own := fleet.Score(owner, q.name())
 	for _, g := range r.list.AllGone() {
 		u := r.goneAt[g.Name].Add(q.window())
--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -54,7 +54,6 @@
 	parts    []quota.Part
 	main     target
 	prefill  target
-	first    time.Time
 	attempts uint32
 	prefills uint32
 	avoid    map[string]bool
--- a/local/world/world.go
+++ b/local/world/world.go
@@ -37,6 +37,9 @@
 	Settings []byte
 	// Policy replaces the routers' default policy where it is not nil.
 	Policy *router.Policy
+	// TLSCert, TLSKey and TLSCA are files for connections between processes; empty for
+	// plain ones.
+	TLSCert, TLSKey, TLSCA string
 	// Callers is the address of the first entry; the others take any port.
 	Callers string
 }
@@ -212,6 +215,9 @@
 		Ops:        anyPort,
 		Platform:   w.Base,
 		TraceSize:  conf.DefaultTraceSize,
+		TLSCert:    w.profile.TLSCert,
+		TLSKey:     w.profile.TLSKey,
+		TLSCA:      w.profile.TLSCA,
 	}
 }
 
