entry: a drain keeps idle connections open for its notice

Ruled out: the agents' drains (the request never reached an entry's handler). Change: during the notice answers carry 'Connection: close' and idle connections stay open; they are closed after it.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cranberrypoint.example/coord/conf"
@@ -55,8 +56,10 @@
 	address  string
 	ops      string
 	born     time.Time
-	ctx      context.Context
-	tasks    tasks.Group
+	// lastAnswers is true from the start of a drain.
+	lastAnswers atomic.Bool
+	ctx         context.Context
+	tasks       tasks.Group
 
 	mu       sync.Mutex
 	router   *router.Router
@@ -115,7 +118,7 @@
 	e.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), pool, l, e.adopt, nil)
 	e.metrics.watchFeed(&e.feed.Counts)
 	stopOps := opsrv.Serve(ls[1], e.metrics.registry, e.trace, e.Status)
-	e.http = &http.Server{Handler: e.handler(), ReadHeaderTimeout: headerTimeout}
+	e.http = &http.Server{Handler: e.closing(e.handler()), ReadHeaderTimeout: headerTimeout}
 	e.tasks.Go(func() { _ = link.Serve(ctx, ls[0], sec, e.feed, nil) })
 	e.tasks.Go(func() { _ = e.http.Serve(ls[2]) })
 	e.tasks.Go(e.tick)
@@ -129,6 +132,16 @@
 	}, nil
 }
 
+// closing asks callers to end their connections after the answers of a drain.
+func (e *Edge) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if e.lastAnswers.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, q)
+	})
+}
+
 // Callers returns the address of the callers' server.
 func (e *Edge) Callers() string { return e.callers }
 
@@ -164,7 +177,8 @@
 	e.mu.Unlock()
 	e.trace.Add(time.Now(), trace.Event{Kind: trace.Draining})
 	e.log.Info("draining")
-	e.http.SetKeepAlivesEnabled(false)
+	// Idle connections stay open until notice has passed: a request may be on its way.
+	e.lastAnswers.Store(true)
 	select {
 	case <-time.After(notice):
 	case <-ctx.Done():
--- a/local/script/fleet_test.go
+++ b/local/script/fleet_test.go
@@ -45,6 +45,7 @@
 	callers  map[string]string
 	upstream map[string]string
 	answers  map[string]*reply
+	drive    *drive
 }
 
 func newFleet(dir string) *procs {
--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -82,6 +82,7 @@
 			"ops":      opsCmd,
 			"sleep":    sleepCmd,
 			"engines":  enginesCmd,
+			"drive":    driveCmd,
 		},
 	})
 }
