conf, opsrv, entry, agent: what both daemons do stands once

Cause: the start of entry and agent, their metrics and some names were written twice; -advertise was read by nothing, since the list tells addresses; index1, make1 and plain needed explaining. Ruled out: one daemon package for both, which would hide what differs. Change: conf.Open, opsrv's metrics, feed.Revisions; shorter Start functions; the dead setting is gone. Behaviour stays as it is.

--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -83,22 +82,10 @@
 // Start runs an agent and returns it with a function that stops it at once.
 func Start(s Settings, l logrus.FieldLogger) (h *Host, stop func(), err error) {
 	defer fault.Annotate(&err, "start agent %s", s.VM)
-	sec, err := s.TLS()
+	k, err := s.Open(l)
 	if err != nil {
 		return nil, nil, err
 	}
-	lis, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return nil, nil, err
-	}
-	ops, err := net.Listen("tcp", s.Ops)
-	if err != nil {
-		_ = lis.Close()
-		return nil, nil, err
-	}
-	if sec == nil {
-		l.Warn("connections between processes are not encrypted: no -tls-cert")
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
 	incarnation := uint64(now.UnixNano())
@@ -109,8 +96,8 @@
 		metrics:  newMetrics(),
 		engine:   engine.New(s.Upstream),
 		service:  plain.New(s.Upstream),
-		address:  lis.Addr().String(),
-		ops:      ops.Addr().String(),
+		address:  k.Peers.Addr().String(),
+		ops:      k.Ops.Addr().String(),
 		born:     now,
 		ctx:      ctx,
 		worker:   worker.New(now, incarnation, worker.WithSlots(s.Slots)),
@@ -121,24 +108,33 @@
 		answers:  map[uint64]chan wire.Ran{},
 	}
 	h.trace.Add(now, trace.Event{Kind: trace.Incarnated})
-	pool, closePool := link.NewPool(sec)
+	stopServing := h.serve(k, incarnation)
+	return h, func() {
+		cancel()
+		stopServing()
+		h.tasks.Close()
+	}, nil
+}
+
+// serve starts what an agent does, and returns a function that stops its connections.
+func (h *Host) serve(k *conf.Sockets, incarnation uint64) (stop func()) {
+	s := &h.settings
+	pool, closePool := link.NewPool(k.TLS)
 	id := feed.Identity{VM: s.VM, DataCentre: s.DataCentre, Incarnation: incarnation}
 	var stopFeed func()
-	h.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), pool, l, h.adopt, h.allow)
-	h.metrics.watchFeed(&h.feed.Counts)
-	stopOps := opsrv.Serve(ops, h.metrics.registry, h.trace, h.Status)
-	h.tasks.Go(func() { _ = link.Serve(ctx, lis, sec, h.feed, h) })
+	h.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), pool, h.log, h.adopt, h.allow)
+	h.metrics.registry.MustRegister(h.feed.Counts.Collectors(opsrv.Namespace)...)
+	stopOps := opsrv.Serve(k.Ops, h.metrics.registry, h.trace, h.Status)
+	h.tasks.Go(func() { _ = link.Serve(h.ctx, k.Peers, k.TLS, h.feed, h) })
 	h.tasks.Go(h.tick)
 	if s.Kind == KindEngine {
 		h.tasks.Go(h.sweep)
 	}
-	return h, func() {
-		cancel()
+	return func() {
 		stopOps()
 		stopFeed()
 		closePool()
-		h.tasks.Close()
-	}, nil
+	}
 }
 
 // Address returns the address of the drpc server.
@@ -193,7 +189,7 @@
 	h.holder.Rebase(now, t, l, h.settings.VM, h.settings.DataCentre)
 	h.orders.Want(orders.Wanted(t, v.Service))
 	h.mu.Unlock()
-	h.trace.Add(now, trace.Event{Kind: trace.Adopted, Detail: revisionText(t, l)})
+	h.trace.Add(now, trace.Event{Kind: trace.Adopted, Detail: feed.Revisions(t, l)})
 	h.step(worker.Configured{Tree: t, Leaving: v.State == fleet.Leaving})
 }
 
--- a/coord/cmdln/cmdln.go
+++ b/coord/cmdln/cmdln.go
@@ -73,10 +73,10 @@
 func (*version) SetFlags(_ *flag.FlagSet) {}
 
 func (v *version) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	go1 := ""
+	toolchain := ""
 	if b, ok := debug.ReadBuildInfo(); ok {
-		go1 = b.GoVersion
+		toolchain = b.GoVersion
 	}
-	fmt.Println(v.program, Version, go1)
+	fmt.Println(v.program, Version, toolchain)
 	return Success
 }
--- a/coord/conf/conf.go
+++ b/coord/conf/conf.go
@@ -29,8 +29,6 @@
 	DataCentre string
 	// Listen is the address of the drpc server.
 	Listen string
-	// Advertise is the address of the drpc server as peers dial it.
-	Advertise string
 	// Ops is the address of the operators' HTTP server.
 	Ops string
 	// Platform is the base URL of the configuration service.
@@ -54,7 +52,6 @@
 	f.StringVar(&c.VM, "vm", "", "name of this VM, as the platform lists it (required)")
 	f.StringVar(&c.DataCentre, "data-centre", "", "data centre of this VM (required)")
 	f.StringVar(&c.Listen, "listen", "127.0.0.1:0", "IP address and port of the server for other processes of the system")
-	f.StringVar(&c.Advertise, "advertise", "", "IP address and port at which peers reach -listen (default: -listen)")
 	f.StringVar(&c.Ops, "ops-listen", "127.0.0.1:0", "IP address and port of the operators' HTTP server")
 	f.StringVar(&c.Platform, "platform", "", "base URL of the configuration service, such as http://10.0.0.1:2380 (required)")
 	f.StringVar(&c.Peers, "peers", "", "addresses of processes to learn from while the platform is down, separated by commas")
@@ -86,8 +83,6 @@
 		return Invalid("data-centre", c.DataCentre, "the name of this VM's data centre")
 	case !IsAddress(c.Listen):
 		return Invalid("listen", c.Listen, "an IP address and a port, such as 127.0.0.1:7000,")
-	case c.Advertise != "" && !IsAddress(c.Advertise):
-		return Invalid("advertise", c.Advertise, "an IP address and a port, such as 10.0.0.7:7000,")
 	case !IsAddress(c.Ops):
 		return Invalid("ops-listen", c.Ops, "an IP address and a port, such as 127.0.0.1:7001,")
 	case !IsURL(c.Platform):
--- a/coord/feed/metrics.go
+++ b/coord/feed/metrics.go
@@ -1,8 +1,11 @@
 package feed
 
 import (
+	"fmt"
 	"sync/atomic"
 
+	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/tree"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -23,3 +26,8 @@
 		f("configuration_rejected_total", "Configurations refused.", &c.Rejected),
 	}
 }
+
+// Revisions tells which settings and list are in force.
+func Revisions(t *tree.Tree, l *fleet.List) string {
+	return fmt.Sprintf("settings %d, list %d", t.Revision(), l.Revision())
+}
--- a/coord/opsrv/watch.go
+++ b/coord/opsrv/watch.go
@@ -11,12 +11,7 @@
 
 // WatchInvariants counts, logs and traces violations instead of ending the process.
 func WatchInvariants(r prometheus.Registerer, l logrus.FieldLogger, t *trace.Log) {
-	c := prometheus.NewCounter(prometheus.CounterOpts{
-		Namespace: "cranberrypoint",
-		Name:      "invariant_violations_total",
-		Help:      "Invariants that did not hold.",
-	})
-	r.MustRegister(c)
+	c := Counter(r, "invariant_violations_total", "Invariants that did not hold.")
 	assert.SetHandler(func(v *assert.Violation) {
 		c.Inc()
 		l.Error(v.Error())
--- a/coord/tree/resolve.go
+++ b/coord/tree/resolve.go
@@ -219,7 +219,7 @@
 	if k != Generate && k != Plain {
 		return eris.Errorf("%s: kind is %q; %s or %s would be right", key, k, Generate, Plain)
 	}
-	return t.index1(key)
+	return t.resolveItem(key)
 }
 
 func (t *Tree) indexWorkspace(name string) error {
@@ -238,7 +238,7 @@
 		t.byHash[h] = name
 		t.byKeyID[id] = name
 	}
-	return t.index1(key)
+	return t.resolveItem(key)
 }
 
 func (t *Tree) indexRoute(name string) error {
@@ -256,7 +256,7 @@
 			return eris.Errorf("%s: model %q is also that of %s%s", key, r.Model, RoutePrefix, other)
 		}
 		t.byModel[r.Model] = name
-		return t.index1(key)
+		return t.resolveItem(key)
 	}
 	if !strings.HasPrefix(r.Path, "/") {
 		return eris.Errorf("%s: path is %q; a path that starts with / would be right", key, r.Path)
@@ -267,10 +267,11 @@
 		}
 	}
 	t.plain = append(t.plain, name)
-	return t.index1(key)
+	return t.resolveItem(key)
 }
 
-func (t *Tree) index1(key string) error {
+// resolveItem computes and checks the effective values of an item.
+func (t *Tree) resolveItem(key string) error {
 	levels, err := t.chain(key)
 	if err != nil {
 		return err
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -73,25 +72,13 @@
 // Start runs an entry and returns it with a function that stops it at once.
 func Start(s Settings, l logrus.FieldLogger) (e *Edge, stop func(), err error) {
 	defer fault.Annotate(&err, "start entry %s", s.VM)
-	sec, err := s.TLS()
+	k, err := s.Open(l, s.Callers)
 	if err != nil {
 		return nil, nil, err
 	}
-	var ls [3]net.Listener
-	for i, a := range []string{s.Listen, s.Ops, s.Callers} {
-		if ls[i], err = net.Listen("tcp", a); err != nil {
-			for _, open := range ls[:i] {
-				_ = open.Close()
-			}
-			return nil, nil, err
-		}
-	}
-	if sec == nil {
-		l.Warn("connections between processes are not encrypted: no -tls-cert")
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
-	pool, closePool := link.NewPool(sec)
+	pool, closePool := link.NewPool(k.TLS)
 	opts := []router.Option{router.WithVM(s.VM, s.DataCentre)}
 	if s.Policy != nil {
 		opts = append(opts, router.WithPolicy(*s.Policy))
@@ -102,9 +89,9 @@
 		trace:    trace.NewLog(s.VM, s.TraceSize),
 		metrics:  newMetrics(),
 		pool:     pool,
-		address:  ls[0].Addr().String(),
-		ops:      ls[1].Addr().String(),
-		callers:  ls[2].Addr().String(),
+		address:  k.Peers.Addr().String(),
+		ops:      k.Ops.Addr().String(),
+		callers:  k.More[0].Addr().String(),
 		born:     now,
 		ctx:      ctx,
 		router:   router.New(uint64(now.UnixNano()), opts...),
@@ -113,25 +100,34 @@
 		runs:     map[router.Ref]*run{},
 	}
 	e.trace.Add(now, trace.Event{Kind: trace.Incarnated})
-	id := feed.Identity{VM: s.VM, DataCentre: s.DataCentre, Incarnation: uint64(now.UnixNano())}
-	var stopFeed func()
-	e.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), pool, l, e.adopt, nil)
-	e.metrics.watchFeed(&e.feed.Counts)
-	stopOps := opsrv.Serve(ls[1], e.metrics.registry, e.trace, e.Status)
-	e.http = &http.Server{Handler: e.closing(e.handler()), ReadHeaderTimeout: headerTimeout}
-	e.tasks.Go(func() { _ = link.Serve(ctx, ls[0], sec, e.feed, nil) })
-	e.tasks.Go(func() { _ = e.http.Serve(ls[2]) })
-	e.tasks.Go(e.tick)
+	stopServing := e.serveAll(k)
 	return e, func() {
 		_ = e.http.Close()
 		cancel()
-		stopOps()
-		stopFeed()
+		stopServing()
 		closePool()
 		e.tasks.Close()
 	}, nil
 }
 
+// serveAll starts what an entry does, and returns a function that stops its connections.
+func (e *Edge) serveAll(k *conf.Sockets) (stop func()) {
+	s := &e.settings
+	id := feed.Identity{VM: s.VM, DataCentre: s.DataCentre, Incarnation: uint64(e.born.UnixNano())}
+	var stopFeed func()
+	e.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), e.pool, e.log, e.adopt, nil)
+	e.metrics.registry.MustRegister(e.feed.Counts.Collectors(opsrv.Namespace)...)
+	stopOps := opsrv.Serve(k.Ops, e.metrics.registry, e.trace, e.Status)
+	e.http = &http.Server{Handler: e.closing(e.handler()), ReadHeaderTimeout: headerTimeout}
+	e.tasks.Go(func() { _ = link.Serve(e.ctx, k.Peers, k.TLS, e.feed, nil) })
+	e.tasks.Go(func() { _ = e.http.Serve(k.More[0]) })
+	e.tasks.Go(e.tick)
+	return func() {
+		stopOps()
+		stopFeed()
+	}
+}
+
 // closing asks callers to end their connections after the answers of a drain.
 func (e *Edge) closing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -201,7 +197,7 @@
 
 func (e *Edge) adopt(t *tree.Tree, l *fleet.List) {
 	now := time.Now()
-	e.trace.Add(now, trace.Event{Kind: trace.Adopted, Detail: revisionText(t, l)})
+	e.trace.Add(now, trace.Event{Kind: trace.Adopted, Detail: feed.Revisions(t, l)})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.list = l
--- a/local/script/cmds_test.go
+++ b/local/script/cmds_test.go
@@ -22,7 +22,8 @@
 
 func of(s *testscript.TestScript) *procs { return s.Value(fleetKey{}).(*procs) }
 
-func plain(s *testscript.TestScript, neg bool, args []string, n int, usage string) {
+// needs ends the script unless a command has at least n arguments and is not negated.
+func needs(s *testscript.TestScript, neg bool, args []string, n int, usage string) {
 	if neg || len(args) < n {
 		s.Fatalf("usage: %s", usage)
 	}
@@ -30,7 +31,7 @@
 
 // boot [CENTRE...] starts the platform and the processes of each data centre.
 func boot(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 0, "boot [CENTRE...]")
+	needs(s, neg, args, 0, "boot [CENTRE...]")
 	if len(args) == 0 {
 		args = []string{"east", "west"}
 	}
@@ -39,7 +40,7 @@
 
 // start NAME starts a process again, with the settings of its first life.
 func startCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 1, "start NAME")
+	needs(s, neg, args, 1, "start NAME")
 	s.Check(of(s).launch(args[0]))
 	if v, ok := of(s).vms[args[0]]; ok {
 		s.Check(of(s).reachable("http://" + v.Ops + "/readyz"))
@@ -48,7 +49,7 @@
 
 // signal kill|term|freeze|thaw NAME signals a process.
 func signalCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 2, "signal kill|term|freeze|thaw NAME")
+	needs(s, neg, args, 2, "signal kill|term|freeze|thaw NAME")
 	n, ok := map[string]syscall.Signal{
 		"kill": syscall.SIGKILL, "term": syscall.SIGTERM, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT,
 	}[args[0]]
@@ -64,7 +65,7 @@
 
 // ended NAME [CODE] waits for the end of a process and checks its exit code.
 func endedCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 1, "ended NAME [CODE]")
+	needs(s, neg, args, 1, "ended NAME [CODE]")
 	p := of(s).all[args[0]]
 	select {
 	case <-p.done:
@@ -130,7 +131,7 @@
 // answered NAME [PROMPT TOKENS] waits for an answer and prints it. With a prompt it
 // checks that the answer is the whole one of the stand-in engine, byte by byte.
 func answeredCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 1, "answered NAME [PROMPT TOKENS]")
+	needs(s, neg, args, 1, "answered NAME [PROMPT TOKENS]")
 	r := of(s).answers[args[0]]
 	if r == nil {
 		s.Fatalf("nothing was asked as %s", args[0])
@@ -151,7 +152,7 @@
 // put KEY FILE publishes a value; put -d KEY removes one; put -doc FILE publishes a
 // whole document.
 func putCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 2, "put KEY FILE | put -d KEY | put -doc FILE")
+	needs(s, neg, args, 2, "put KEY FILE | put -d KEY | put -doc FILE")
 	f := of(s)
 	switch args[0] {
 	case "-d":
@@ -165,13 +166,13 @@
 
 // mode MODE sets the fault of the platform.
 func modeCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 1, "mode up|down|stale|silent")
+	needs(s, neg, args, 1, "mode up|down|stale|silent")
 	s.Check(of(s).control(http.MethodPost, "/control/mode/"+args[0], nil))
 }
 
 // listed NAME live|leaving|gone changes a VM in the platform's list.
 func listedCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 2, "listed NAME live|leaving|gone")
+	needs(s, neg, args, 2, "listed NAME live|leaving|gone")
 	f := of(s)
 	v, ok := f.vms[args[0]]
 	if !ok {
@@ -188,7 +189,7 @@
 // effects MAX checks that no request had more than MAX effects at the plain services,
 // and prints all effects.
 func effectsCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 1, "effects MAX")
+	needs(s, neg, args, 1, "effects MAX")
 	limit, err := strconv.Atoi(args[0])
 	s.Check(err)
 	for n, u := range of(s).upstream {
@@ -221,7 +222,7 @@
 
 // empty waits until no engine holds memory for a request.
 func emptyCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 0, "empty")
+	needs(s, neg, args, 0, "empty")
 	end := time.Now().Add(patience)
 	for {
 		held := 0
@@ -245,7 +246,7 @@
 
 // ops sets the variable OPS to the operators' addresses of all VMs.
 func opsCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 0, "ops")
+	needs(s, neg, args, 0, "ops")
 	var r []string
 	for _, v := range of(s).vms {
 		r = append(r, v.Ops)
@@ -255,7 +256,7 @@
 
 // sleep DURATION waits.
 func sleepCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 1, "sleep DURATION")
+	needs(s, neg, args, 1, "sleep DURATION")
 	d, err := time.ParseDuration(args[0])
 	s.Check(err)
 	time.Sleep(d)
@@ -263,7 +264,7 @@
 
 // engines MODEL... waits until each engine has just these models loaded.
 func enginesCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 1, "engines MODEL...")
+	needs(s, neg, args, 1, "engines MODEL...")
 	end := time.Now().Add(patience)
 	for n, u := range of(s).upstream {
 		if strings.HasSuffix(n, fleet.Plain) {
--- a/local/script/drive_test.go
+++ b/local/script/drive_test.go
@@ -29,7 +29,7 @@
 
 // driveCmd starts a load, or ends it and checks that no request failed.
 func driveCmd(s *testscript.TestScript, neg bool, args []string) {
-	plain(s, neg, args, 1, "drive start|end")
+	needs(s, neg, args, 1, "drive start|end")
 	f := of(s)
 	if args[0] == "start" {
 		f.drive = &drive{stop: make(chan struct{})}
--- a/local/world/tls_test.go
+++ b/local/world/tls_test.go
@@ -27,7 +27,7 @@
 func certificates(t *testing.T) (cert, key, ca string) {
 	t.Helper()
 	dir := t.TempDir()
-	make1 := func(name string, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey) {
+	issue := func(name string, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey) {
 		k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 		if err != nil {
 			t.Fatal(err)
@@ -58,8 +58,8 @@
 		write(t, filepath.Join(dir, name+".key"), "EC PRIVATE KEY", kb)
 		return c, k
 	}
-	parent, signer := make1("ca", nil, nil)
-	make1("vm", parent, signer)
+	parent, signer := issue("ca", nil, nil)
+	issue("vm", parent, signer)
 	return filepath.Join(dir, "vm.crt"), filepath.Join(dir, "vm.key"), filepath.Join(dir, "ca.crt")
 }
 
