--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -32,6 +32,10 @@
 	// sweepPeriod is the time between two comparisons with what the engine holds.
 	sweepPeriod  = time.Second
 	sweepTimeout = 2 * time.Second
+	// orderPeriod is the time between two looks for orders to be given.
+	orderPeriod = time.Second
+	// orderTimeout bounds the time in which an engine loads a model.
+	orderTimeout = 5 * time.Minute
 )
 
 // Host is a running agent.
@@ -129,6 +133,7 @@
 	h.tasks.Go(h.tick)
 	if s.Kind == KindEngine {
 		h.tasks.Go(h.sweep)
+		h.tasks.Go(h.order)
 	}
 	return func() {
 		stopOps()
@@ -232,6 +237,19 @@
 		if err == nil {
 			h.step(worker.HeldListed{Names: held.Requests})
 		}
+		select {
+		case <-t.C:
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+// order keeps the engine's models as the settings want them.
+func (h *Host) order() {
+	t := time.NewTicker(orderPeriod)
+	defer t.Stop()
+	for {
 		h.giveOrders()
 		select {
 		case <-t.C:
@@ -250,7 +268,7 @@
 		if !ok {
 			return
 		}
-		ctx, cancel := context.WithTimeout(h.ctx, sweepTimeout)
+		ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
 		newest, err := h.engine.Order(ctx, engine.Order{Fence: o.Fence, Model: o.Model, Load: o.Load})
 		cancel()
 		h.mu.Lock()
--- a/local/main.go
+++ b/local/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(cmdln.Main("local", &serve{}, &platform{}, &engineCmd{}, &plainCmd{}, &loadCmd{}, &settings{}))
+	os.Exit(cmdln.Main("local", &serve{}, &platform{}, &engineCmd{}, &plainCmd{}, &weightsCmd{}, &loadCmd{}, &settings{}))
 }
--- a/local/script/fleet_test.go
+++ b/local/script/fleet_test.go
@@ -39,6 +39,7 @@
 type procs struct {
 	dir      string
 	platform string
+	weights  string
 	all      map[string]*process
 	order    []string
 	vms      map[string]fleet.VM
@@ -144,6 +145,9 @@
 	if err := f.reachable(f.platform + "/control/reads"); err != nil {
 		return err
 	}
+	if err := f.bootWeights(); err != nil {
+		return err
+	}
 	for _, c := range centres {
 		if err := f.bootCentre(c); err != nil {
 			return err
@@ -152,6 +156,15 @@
 	return f.ready()
 }
 
+func (f *procs) bootWeights() error {
+	a, err := port()
+	if err != nil {
+		return err
+	}
+	f.weights = "http://" + a
+	return f.launch("weights", "local", "weights", "-listen", a)
+}
+
 func (f *procs) bootCentre(centre string) error {
 	for _, stage := range []string{fleet.Prefill, fleet.Decode, fleet.Plain} {
 		if err := f.bootUpstream(centre, stage, centre+"-"+stage); err != nil {
@@ -174,7 +187,11 @@
 		slots = "1"
 	}
 	f.upstream[name] = "http://" + p[0]
-	if err := f.launch("upstream-"+name, "local", kind, "-listen", p[0]); err != nil {
+	args := []string{"local", kind, "-listen", p[0]}
+	if kind == "engine" {
+		args = append(args, "-weights", f.weights)
+	}
+	if err := f.launch("upstream-"+name, args...); err != nil {
 		return err
 	}
 	v := fleet.VM{
--- a/local/stand/engine.go
+++ b/local/stand/engine.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -13,7 +14,6 @@
 
 	"cranberrypoint.example/agent/engine"
 	"cranberrypoint.example/coord/wire"
-	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 )
 
@@ -37,6 +37,8 @@
 	LoadLag time.Duration
 	// Fences refuses orders with an old fencing number.
 	Fences bool
+	// Weights is the base URL of the weight store; empty loads models at once.
+	Weights string
 }
 
 // DefaultEngine is a small engine of the brief.
@@ -70,8 +72,7 @@
 	imports  map[string]int64
 	decoding map[string]context.CancelFunc
 	waiting  map[string]context.CancelFunc
-	cache    map[uint64]bool
-	order    []uint64
+	cache    *cache
 	fence    uint64
 	models   map[string]bool
 	serial   uint64
@@ -105,7 +106,7 @@
 		imports:  map[string]int64{},
 		decoding: map[string]context.CancelFunc{},
 		waiting:  map[string]context.CancelFunc{},
-		cache:    map[uint64]bool{},
+		cache:    newCache(p.CacheBlocks, p.BlockTokens),
 		models:   map[string]bool{},
 	}
 }
@@ -133,6 +134,7 @@
 	m.HandleFunc("/v1/decode", e.decode).Methods(http.MethodPost)
 	m.HandleFunc("/v1/cancel", e.cancel).Methods(http.MethodPost)
 	m.HandleFunc("/v1/orders", e.orders).Methods(http.MethodPost)
+	m.HandleFunc("/v1/events", e.cacheEvents).Methods(http.MethodGet)
 	m.HandleFunc("/v1/held", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Held()) })
 	m.HandleFunc("/v1/load", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.lagging()) })
 	m.HandleFunc("/control/models", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Models()) })
@@ -180,30 +182,7 @@
 func (e *Engine) cached(prompt string) int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	size := int(e.profile.BlockTokens) * 4
-	hit, known := int64(0), true
-	for end := size; end <= len(prompt); end += size {
-		h := xxhash.Sum64String(prompt[:end])
-		known = known && e.cache[h]
-		if known {
-			hit += e.profile.BlockTokens
-			continue
-		}
-		e.remember(h)
-	}
-	return hit
-}
-
-func (e *Engine) remember(h uint64) {
-	if e.cache[h] {
-		return
-	}
-	e.cache[h] = true
-	e.order = append(e.order, h)
-	if len(e.order) > e.profile.CacheBlocks {
-		delete(e.cache, e.order[0])
-		e.order = e.order[1:]
-	}
+	return e.cache.use(time.Now(), prompt)
 }
 
 func (e *Engine) prefill(w http.ResponseWriter, q *http.Request) {
@@ -402,11 +381,33 @@
 	reply(w, struct{}{})
 }
 
+// fetch reads a model's weights from the weight store.
+func (e *Engine) fetch(ctx context.Context, model string) bool {
+	if e.profile.Weights == "" {
+		return true
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, e.profile.Weights+"/v1/weights/"+model, nil)
+	if err != nil {
+		return false
+	}
+	a, err := e.client.Do(q)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = a.Body.Close() }()
+	_, err = io.Copy(io.Discard, a.Body)
+	return err == nil && a.StatusCode == http.StatusOK
+}
+
 func (e *Engine) orders(w http.ResponseWriter, q *http.Request) {
 	o, ok := accept[engine.Order](w, q)
 	if !ok {
 		return
 	}
+	if o.Load && !e.fetch(q.Context(), o.Model) {
+		http.Error(w, "the weights can't be read", http.StatusBadGateway)
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.profile.Fences && o.Fence < e.fence {
--- a/local/standin.go
+++ b/local/standin.go
@@ -95,6 +95,7 @@
 	f.DurationVar(&p.TokenPeriod, "token-period", p.TokenPeriod, "time between two tokens of an answer")
 	f.Int64Var(&p.LinkRate, "link-rate", p.LinkRate, "tokens of KV cache transferred a second")
 	f.DurationVar(&p.Survival, "survival", p.Survival, "time that an exported KV cache is kept")
+	f.StringVar(&p.Weights, "weights", p.Weights, "base URL of the weight store (default: models load at once)")
 	f.BoolVar(&p.Fences, "fences", p.Fences, "refuse orders with an old fencing number")
 }
 
@@ -102,6 +103,26 @@
 	return e.run(ctx, f, stand.NewEngine(e.profile).Handler())
 }
 
+// weightsCmd is the subcommand that runs the weight store.
+type weightsCmd struct {
+	standin
+	size, rate int64
+}
+
+func (*weightsCmd) Name() string     { return "weights" }
+func (*weightsCmd) Synopsis() string { return "run a stand-in of the weight store" }
+func (*weightsCmd) Usage() string    { return "weights [flags]:\n  Run until interrupted.\n" }
+
+func (c *weightsCmd) SetFlags(f *flag.FlagSet) {
+	c.standin.SetFlags(f)
+	f.Int64Var(&c.size, "size", 1<<20, "bytes of each model")
+	f.Int64Var(&c.rate, "rate", 64<<20, "bytes given out a second, over all readers")
+}
+
+func (c *weightsCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.run(ctx, f, stand.NewWeights(c.size, c.rate).Handler())
+}
+
 // plainCmd is the subcommand that runs a plain service.
 type plainCmd struct{ standin }
 
