local, quota: limits with real processes; settlement before its reservation

Cause: limits were proved at the reducers only, and a mutant that grants a settled reservation was told from the program only by luck. Change: a script floods both entries while a holder is killed and starts again; single steps of settlement.

--- a/coord/quota/repeat_test.go
+++ b/coord/quota/repeat_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"cranberrypoint.example/coord/fake"
+	"cranberrypoint.example/coord/quota"
 	"pgregory.net/rapid"
 )
 
@@ -41,3 +43,23 @@
 		}
 	}
 }
+
+func TestSettlementBeforeItsReservation(t *testing.T) {
+	h := quota.NewHolder()
+	now := fake.Epoch
+	h.Authorize(now, now.Add(time.Hour))
+	h.Hold(now, "w", quota.ShareOf(100, 100, 1), 0)
+	now = now.Add(10 * time.Second)
+	h.Settle(now, "r", "w", 0)
+	if a := h.Reserve(now, "r", "w", 10, true); a.Granted != 0 {
+		t.Errorf("a settled reservation is granted %d tokens, want none", a.Granted)
+	}
+	first := h.Reserve(now, "s", "w", 10, true)
+	again := h.Reserve(now, "s", "w", 10, true)
+	if first.Granted != 10 || again.Granted != 10 || again.Balance != first.Balance {
+		t.Errorf("a repeated reservation: %+v, then %+v, want the same", first, again)
+	}
+	if back, more := h.Settle(now, "s", "w", 4), h.Settle(now, "s", "w", 0); back != 6 || more != 0 {
+		t.Errorf("settled twice: %d and %d tokens come back, want 6 and 0", back, more)
+	}
+}
--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -83,6 +83,7 @@
 			"sleep":    sleepCmd,
 			"engines":  enginesCmd,
 			"drive":    driveCmd,
+			"flood":    floodCmd,
 		},
 	})
 }
