--- a/coord/quota/repeat_test.go
+++ b/coord/quota/repeat_test.go
@@ -62,4 +62,7 @@
 	if back, more := h.Settle(now, "s", "w", 4), h.Settle(now, "s", "w", 0); back != 6 || more != 0 {
 		t.Errorf("settled twice: %d and %d tokens come back, want 6 and 0", back, more)
 	}
+	if a := h.Reserve(now, "s", "w", 10, true); a.Granted != 0 {
+		t.Errorf("a repetition after the settlement is granted %d tokens, want none", a.Granted)
+	}
 }
