entry: large request bodies go on to the upstream while they come

Cause: the body of a plain call was read whole before the request began. Ruled out: streaming those under an idempotency key, since their content decides whether a repetition is one; dropping what was sent, since another attempt needs it. The scripts look at metrics.

--- a/agent/host/stream.go
+++ b/agent/host/stream.go
@@ -82,6 +82,8 @@
 	cond *sync.Cond
 	data []byte
 	end  bool
+	// broken is true when the stream ended before the body.
+	broken bool
 }
 
 func newBody() *body {
@@ -98,19 +100,31 @@
 	b.cond.Broadcast()
 }
 
+// breakOff ends a body whose stream is gone.
+func (b *body) breakOff() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.broken = !b.end
+	b.cond.Broadcast()
+}
+
 // Close ends the body.
 func (b *body) Close() error {
 	b.add(&wire.Body{End: true})
 	return nil
 }
 
-// Read waits for data and returns io.EOF after the end.
+// Read waits for data and returns io.EOF after the end, and io.ErrUnexpectedEOF if
+// the end never comes.
 func (b *body) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.data) == 0 && !b.end {
+	for len(b.data) == 0 && !b.end && !b.broken {
 		b.cond.Wait()
 	}
+	if len(b.data) == 0 && b.broken {
+		return 0, io.ErrUnexpectedEOF
+	}
 	if len(b.data) == 0 {
 		return 0, io.EOF
 	}
@@ -123,6 +137,7 @@
 func (h *Host) Run(s wire.DRPCAgent_RunStream) error {
 	id, o := h.addStream()
 	defer h.dropStream(id)
+	defer o.body.breakOff()
 	ctx, cancel := context.WithCancel(s.Context())
 	defer cancel()
 	go func() {
--- a/entry/edge/clean.go
+++ b/entry/edge/clean.go
@@ -39,7 +39,8 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// cleanHeaders returns the headers that the upstream is given.
+// cleanHeaders returns the headers that the upstream is given. The size of the body is
+// in bytes, or below 0 if it is not known.
 func cleanHeaders(q *http.Request, key string, size int64) []*wire.Header {
 	h := q.Header.Clone()
 	for _, v := range h.Values("Connection") {
@@ -51,7 +52,10 @@
 		h.Del(n)
 	}
 	cleanCookies(h, q, key)
-	h.Set("Content-Length", strconv.FormatInt(size, 10))
+	h.Del("Content-Length")
+	if size >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(size, 10))
+	}
 	var r []*wire.Header
 	for n, vs := range h {
 		for _, v := range vs {
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -121,7 +121,7 @@
 		return
 	}
 	v, _ := t.OfRoute(route)
-	b, err := readBody(w, q, v.MaxBody)
+	b, digest, err := e.takeBody(w, q, v.MaxBody)
 	if err != nil {
 		e.refuse(w, err)
 		return
@@ -134,12 +134,42 @@
 		IdempotencyKey: q.Header.Get(idempotencyHeader),
 		Method:         q.Method,
 		Path:           cleanPath(q, key),
-		Headers:        cleanHeaders(q, key, int64(len(b))),
-		Digest:         digest(q, b),
+		Headers:        cleanHeaders(q, key, b.declared(q)),
+		Digest:         digest,
 	}
 	e.serveCall(w, q, c, b, &forwarded{w: w})
 }
 
+// takeBody reads a small body, or one whose content identifies the request; a larger one
+// goes on to the upstream while it comes.
+func (e *Edge) takeBody(w http.ResponseWriter, q *http.Request, limit int64) (b *body, content string, err *fault.Error) {
+	if q.ContentLength > limit {
+		return nil, "", fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", limit)
+	}
+	small := q.ContentLength >= 0 && q.ContentLength <= smallBody
+	if !small && q.Header.Get(idempotencyHeader) == "" {
+		return newBody(nil, false), "", nil
+	}
+	data, err := readBody(w, q, limit)
+	if err != nil {
+		return nil, "", err
+	}
+	return newBody(data, true), digest(q, data), nil
+}
+
+// stream reads the rest of a request's body while it is answered.
+func (e *Edge) stream(w http.ResponseWriter, q *http.Request, s *sink) {
+	if s.body == nil || s.body.end {
+		return
+	}
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	t := e.tree()
+	route, _ := t.RouteOfPath(q.URL.Path)
+	v, _ := t.OfRoute(route)
+	r := http.MaxBytesReader(w, q.Body, v.MaxBody)
+	e.tasks.Go(func() { s.body.read(r, s.signal) })
+}
+
 // digest identifies the content of a request.
 func digest(q *http.Request, b []byte) string {
 	h := sha256.New()
@@ -159,8 +189,9 @@
 }
 
 // serveCall runs a call and writes its answer.
-func (e *Edge) serveCall(w http.ResponseWriter, q *http.Request, c router.Call, body []byte, a answer) {
+func (e *Edge) serveCall(w http.ResponseWriter, q *http.Request, c router.Call, body *body, a answer) {
 	id, s := e.begin(c, body)
+	e.stream(w, q, s)
 	name := c.Name
 	for {
 		for _, x := range s.take() {
@@ -184,6 +215,11 @@
 				return
 			}
 		}
+		if err := e.broken(s); err != nil {
+			e.gone(id)
+			e.cut(w, a, err)
+			return
+		}
 		select {
 		case <-s.wake:
 		case <-q.Context().Done():
@@ -193,7 +229,23 @@
 	}
 }
 
-func (e *Edge) begin(c router.Call, body []byte) (router.ID, *sink) {
+// broken returns why a request's body broke off, or nil.
+func (e *Edge) broken(s *sink) *fault.Error {
+	if s.body == nil {
+		return nil
+	}
+	return s.body.failure()
+}
+
+// cut ends the answer to a request that can't go on.
+func (e *Edge) cut(w http.ResponseWriter, a answer, err *fault.Error) {
+	if a.begun() {
+		panic(http.ErrAbortHandler)
+	}
+	e.refuse(w, err)
+}
+
+func (e *Edge) begin(c router.Call, body *body) (router.ID, *sink) {
 	s := newSink(body)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/edge/run.go
+++ b/entry/edge/run.go
@@ -25,7 +25,8 @@
 	vm      string
 	address string
 	first   *wire.RunRequest
-	body    []byte
+	body    *body
+	ctx     context.Context
 	cancel  context.CancelFunc
 
 	mu    sync.Mutex
@@ -80,6 +81,7 @@
 		vm:      vm,
 		address: v.Address,
 		first:   first,
+		ctx:     ctx,
 		cancel:  cancel,
 		wake:    make(chan struct{}, 1),
 	}
@@ -154,7 +156,7 @@
 	}
 	switch k := m.Kind.(type) {
 	case *wire.RunReply_Granted:
-		r.sendBody()
+		e.tasks.Go(func() { r.sendBody(r.ctx) })
 		e.step(router.RunGranted{Ref: r.ref, Incarnation: k.Granted.Incarnation})
 	case *wire.RunReply_Head:
 		e.step(router.RunHead{Ref: r.ref, Head: k.Head})
@@ -178,17 +180,23 @@
 	return e
 }
 
-// sendBody queues the request's body. A run that is resumed was sent it before.
-func (r *run) sendBody() {
-	if r.first.GetOpen().GetStage() != wire.Stage_STAGE_PLAIN {
+// sendBody queues the request's body as it comes. A run that is resumed was sent it
+// before.
+func (r *run) sendBody(ctx context.Context) {
+	if r.body == nil || r.first.GetOpen().GetStage() != wire.Stage_STAGE_PLAIN {
 		return
 	}
-	b := r.body
-	for len(b) > bodyPart {
-		r.put(&wire.RunRequest{Kind: &wire.RunRequest_Body{Body: &wire.Body{Data: b[:bodyPart]}}})
-		b = b[bodyPart:]
+	for from := 0; ; {
+		part, last, ok := r.body.next(ctx, from)
+		if !ok {
+			return
+		}
+		from += len(part)
+		r.put(&wire.RunRequest{Kind: &wire.RunRequest_Body{Body: &wire.Body{Data: part, End: last}}})
+		if last {
+			return
+		}
 	}
-	r.put(&wire.RunRequest{Kind: &wire.RunRequest_Body{Body: &wire.Body{Data: b, End: true}}})
 }
 
 // pump sends queued messages and heartbeats until the stream ends. It returns false
--- a/entry/edge/sink.go
+++ b/entry/edge/sink.go
@@ -8,14 +8,14 @@
 
 // sink passes the effects of one request to the handler that answers its caller.
 type sink struct {
-	body []byte
+	body *body
 
 	mu    sync.Mutex
 	queue []router.Effect
 	wake  chan struct{}
 }
 
-func newSink(body []byte) *sink {
+func newSink(body *body) *sink {
 	return &sink{body: body, wake: make(chan struct{}, 1)}
 }
 
@@ -23,6 +23,10 @@
 	s.mu.Lock()
 	s.queue = append(s.queue, x)
 	s.mu.Unlock()
+	s.signal()
+}
+
+func (s *sink) signal() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
--- a/local/script/cmds_test.go
+++ b/local/script/cmds_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os/exec"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -284,3 +285,12 @@
 		}
 	}
 }
+
+// metrics NAME PATTERN checks that a process's metrics match a regular expression.
+func metricsCmd(s *testscript.TestScript, neg bool, args []string) {
+	needs(s, neg, args, 2, "metrics NAME PATTERN")
+	m := get(s, "http://"+of(s).vms[args[0]].Ops+"/metrics")
+	if !regexp.MustCompile(args[1]).MatchString(m) {
+		s.Fatalf("the metrics of %s don't match %s", args[0], args[1])
+	}
+}
--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -84,6 +84,7 @@
 			"engines":  enginesCmd,
 			"drive":    driveCmd,
 			"flood":    floodCmd,
+			"metrics":  metricsCmd,
 		},
 	})
 }
