--- a/local/script/cmds_test.go
+++ b/local/script/cmds_test.go
@@ -167,7 +167,7 @@
 
 // mode MODE sets the fault of the platform.
 func modeCmd(s *testscript.TestScript, neg bool, args []string) {
-	needs(s, neg, args, 1, "mode up|down|stale|silent")
+	needs(s, neg, args, 1, "mode up|down|stale|silent|slow")
 	s.Check(of(s).control(http.MethodPost, "/control/mode/"+args[0], nil))
 }
 
@@ -294,3 +294,9 @@
 		s.Fatalf("the metrics of %s don't match %s", args[0], args[1])
 	}
 }
+
+// lag DURATION makes the platform's list of VMs lag behind.
+func lagCmd(s *testscript.TestScript, neg bool, args []string) {
+	needs(s, neg, args, 1, "lag DURATION")
+	s.Check(of(s).control(http.MethodPost, "/control/list-lag/"+args[0], nil))
+}
--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -85,6 +85,7 @@
 			"drive":    driveCmd,
 			"flood":    floodCmd,
 			"metrics":  metricsCmd,
+			"lag":      lagCmd,
 		},
 	})
 }
--- a/local/stand/platform.go
+++ b/local/stand/platform.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,8 +44,13 @@
 	Stale Mode = "stale"
 	// Silent answers no read.
 	Silent Mode = "silent"
+	// Slow answers each read slowDelay later.
+	Slow Mode = "slow"
 )
 
+// slowDelay is how much longer a read takes in the mode Slow.
+const slowDelay = 700 * time.Millisecond
+
 // Platform is the configuration service. Processes of the system only read it; the
 // methods that write belong to operators and tests.
 type Platform struct {
@@ -55,6 +61,7 @@
 	frozenAt uint64
 	mode     Mode
 	reads    uint64
+	listLag  time.Duration
 	changed  chan struct{}
 }
 
@@ -63,6 +70,23 @@
 	return &Platform{items: map[string]feed.Item{}, mode: Up, changed: make(chan struct{})}
 }
 
+// SetListLag sets how long after a change of the list of VMs readers see it.
+func (p *Platform) SetListLag(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listLag = d
+}
+
+// lag returns how much later a change of a key is made.
+func (p *Platform) lag(key string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !strings.HasPrefix(key, spread.VMPrefix) {
+		return 0
+	}
+	return p.listLag
+}
+
 // Put writes a value and returns its revision.
 func (p *Platform) Put(key string, value []byte) (revision uint64, err error) {
 	defer fault.Annotate(&err, "put %s", key)
@@ -155,6 +179,14 @@
 	m.HandleFunc("/control/mode/{mode}", func(_ http.ResponseWriter, q *http.Request) {
 		p.SetMode(Mode(mux.Vars(q)["mode"]))
 	}).Methods(http.MethodPost)
+	m.HandleFunc("/control/list-lag/{lag}", func(w http.ResponseWriter, q *http.Request) {
+		d, err := time.ParseDuration(mux.Vars(q)["lag"])
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.SetListLag(d)
+	}).Methods(http.MethodPost)
 	m.HandleFunc("/control/reads", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(p.Reads())
 	}).Methods(http.MethodGet)
@@ -174,7 +206,7 @@
 func (p *Platform) control(w http.ResponseWriter, q *http.Request) {
 	key := mux.Vars(q)["key"]
 	if q.Method == http.MethodDelete {
-		_ = json.NewEncoder(w).Encode(p.Delete(key))
+		time.AfterFunc(p.lag(key), func() { p.Delete(key) })
 		return
 	}
 	b, err := io.ReadAll(q.Body)
@@ -182,6 +214,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if d := p.lag(key); d > 0 {
+		time.AfterFunc(d, func() { _, _ = p.Put(key, b) })
+		return
+	}
 	r, err := p.Put(key, b)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
@@ -227,6 +263,9 @@
 		if mode == Down {
 			return page, false
 		}
+		if mode == Slow {
+			time.Sleep(slowDelay)
+		}
 		left := time.Until(until)
 		if page.Revision > after || left <= 0 {
 			return page, true
