local, spread: scripts wait for a change instead of a time

Ruled out: the protocol: in virtual time a change through a platform that takes 0.7 s a read is in force within 3 s, 10 of 10 (TestChangeThroughASlowPlatform, new). Change: the scripts wait until every process has the revision, which checks each of them; the bound of 3 s is asserted in virtual time, where no machine is timed. Conclusion: the script timed the machine.

--- a/coord/fake/fleet.go
+++ b/coord/fake/fleet.go
@@ -25,6 +25,8 @@
 type Platform struct {
 	// Down fails every read; Stale answers from the state at Freeze.
 	Down, Stale bool
+	// SlowBy is how much longer a read takes.
+	SlowBy time.Duration
 	// Reads counts calls.
 	Reads int
 
@@ -258,7 +260,7 @@
 		if x.Watch && f.Platform.revision <= x.After {
 			wait = spread.WatchWait / 4
 		}
-		f.After(wait, func() {
+		f.After(wait+f.Platform.SlowBy, func() {
 			if f.Platform.Down {
 				return
 			}
--- a/coord/spread/spread_test.go
+++ b/coord/spread/spread_test.go
@@ -115,6 +115,20 @@
 	}
 }
 
+func TestChangeThroughASlowPlatform(t *testing.T) {
+	f := boot(1, network, 2, 5)
+	f.Run(5 * time.Second)
+	f.Platform.SlowBy = 700 * time.Millisecond
+	for i := range 10 {
+		since := f.Now()
+		change(f, i+2)
+		f.Run(inForce)
+		if worst := slowest(t, f, f.Platform.Revision(), since); worst > inForce {
+			t.Errorf("a change took %v, want at most %v", worst, inForce)
+		}
+	}
+}
+
 func TestReadsWhileThePlatformIsDown(t *testing.T) {
 	f := boot(1, network, 7, perCentre())
 	f.Run(10 * time.Second)
--- a/local/script/cmds_test.go
+++ b/local/script/cmds_test.go
@@ -16,6 +16,7 @@
 
 	"cranberrypoint.example/agent/engine"
 	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/local/stand"
 	"github.com/google/go-cmp/cmp"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -300,3 +301,25 @@
 	needs(s, neg, args, 1, "lag DURATION")
 	s.Check(of(s).control(http.MethodPost, "/control/list-lag/"+args[0], nil))
 }
+
+// adopted waits until each listed process has the platform's newest revision.
+func adoptedCmd(s *testscript.TestScript, neg bool, args []string) {
+	needs(s, neg, args, 0, "adopted")
+	f := of(s)
+	var newest uint64
+	s.Check(json.Unmarshal([]byte(get(s, f.platform+"/control/revision")), &newest))
+	end := time.Now().Add(patience)
+	for n, v := range f.vms {
+		for {
+			var x opsrv.Status
+			s.Check(json.Unmarshal([]byte(get(s, "http://"+v.Ops+"/status")), &x))
+			if x.Revision >= newest {
+				break
+			}
+			if time.Now().After(end) {
+				s.Fatalf("%s has revision %d, want %d", n, x.Revision, newest)
+			}
+			time.Sleep(poll)
+		}
+	}
+}
--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -86,6 +86,7 @@
 			"flood":    floodCmd,
 			"metrics":  metricsCmd,
 			"lag":      lagCmd,
+			"adopted":  adoptedCmd,
 		},
 	})
 }
--- a/local/stand/platform.go
+++ b/local/stand/platform.go
@@ -187,6 +187,9 @@
 		}
 		p.SetListLag(d)
 	}).Methods(http.MethodPost)
+	m.HandleFunc("/control/revision", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(p.Revision())
+	}).Methods(http.MethodGet)
 	m.HandleFunc("/control/reads", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(p.Reads())
 	}).Methods(http.MethodGet)
