hops, worker, entry: one list of connection headers, one end of a call

Cause: reading the change again: the headers of one connection were listed and stripped in agent and in entry; the end of a call stood twice; the limit of a body was looked up a second time, in a tree that may be newer; a field of a request was written and never read. Change: coord/hops; worker.endCall; a body knows its limit; the field is gone. Before and after: behaviour as it was; router, worker, world and script tests pass.

--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -7,11 +7,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/hops"
 	"cranberrypoint.example/coord/wire"
 )
 
@@ -124,28 +124,10 @@
 	}
 }
 
-// hopByHop are the headers that belong to one connection (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// StripHop removes the headers that belong to one connection.
-func StripHop(h http.Header) {
-	for _, v := range h.Values("Connection") {
-		for _, n := range strings.Split(v, ",") {
-			h.Del(textproto.TrimString(n))
-		}
-	}
-	for _, n := range hopByHop {
-		h.Del(n)
-	}
-}
-
 // Headers returns the wire form of headers without those of one connection.
 func Headers(h http.Header) []*wire.Header {
 	c := h.Clone()
-	StripHop(c)
+	hops.Strip(c)
 	var r []*wire.Header
 	for n, vs := range c {
 		for _, v := range vs {
--- a/coord/router/admit.go
+++ b/coord/router/admit.go
@@ -58,7 +58,6 @@
 
 func (r *Router) fill(q *request, route tree.Route) *fault.Error {
 	q.service = route.Service
-	q.open = route.Open
 	q.values, _ = r.tree.OfRoute(q.call.Route)
 	q.generated = r.tree.ServiceKind(route.Service) == tree.Generate
 	q.weight = 1
--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -44,7 +44,6 @@
 	keyID     string
 	service   string
 	generated bool
-	open      bool
 	values    tree.Resolved
 	weight    int64
 	phase     phase
--- a/coord/worker/call.go
+++ b/coord/worker/call.go
@@ -87,12 +87,9 @@
 	if r == nil || r.phase != running {
 		return
 	}
-	w.freeSlot(r)
-	r.phase = ended
 	r.done = e.Done
 	r.done.Size = r.end
-	w.renewEnded(r)
-	w.record(r.id.Request).ran = wire.Ran_RAN_YES
+	w.endCall(r, wire.Ran_RAN_YES)
 	w.trace(trace.Finished, r, "")
 	w.sendEnd(r)
 }
@@ -102,20 +99,21 @@
 	if r == nil || r.phase != running {
 		return
 	}
-	w.freeSlot(r)
-	r.phase = ended
 	r.fail = e.Err
 	r.started = e.Err.Ran != wire.Ran_RAN_NO
-	w.renewEnded(r)
-	w.record(r.id.Request).ran = e.Err.Ran
+	w.endCall(r, e.Err.Ran)
 	w.trace(trace.Failed, r, string(e.Err.Code))
 	w.sendEnd(r)
 }
 
-// renewEnded sets the times until which an ended run can be resumed and repeated.
-func (w *Worker) renewEnded(r *run) {
+// endCall frees a run's slot, records whether it ran, and sets the times until which
+// it can be resumed and repeated.
+func (w *Worker) endCall(r *run, ran wire.Ran) {
+	w.freeSlot(r)
+	r.phase = ended
 	w.renew(r)
 	if w.replayable(r) {
 		r.keep = w.now.Add(w.keep)
 	}
+	w.record(r.id.Request).ran = ran
 }
--- a/entry/edge/body.go
+++ b/entry/edge/body.go
@@ -17,6 +17,9 @@
 // body is a request's body. It is kept until the request ends, so that another attempt
 // can send it again; the route's max-body bounds its size.
 type body struct {
+	// limit is the largest size in bytes.
+	limit int64
+
 	mu   sync.Mutex
 	cond *sync.Cond
 	data []byte
@@ -24,8 +27,8 @@
 	err  *fault.Error
 }
 
-func newBody(data []byte, end bool) *body {
-	b := &body{data: data, end: end}
+func newBody(limit int64, data []byte, end bool) *body {
+	b := &body{limit: limit, data: data, end: end}
 	b.cond = sync.NewCond(&b.mu)
 	return b
 }
--- a/entry/edge/clean.go
+++ b/entry/edge/clean.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
 
+	"cranberrypoint.example/coord/hops"
 	"cranberrypoint.example/coord/tree"
 	"cranberrypoint.example/coord/wire"
 )
@@ -31,23 +31,15 @@
 	return tree.HashKey(k)
 }
 
-// dropped are the headers that no upstream sees: those that carry keys and those that
-// belong to one connection (RFC 9110, section 7.6.1).
-var dropped = []string{
-	"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key",
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
+// dropped are the headers that no upstream sees, besides those of one connection: they
+// carry keys, or speak of the body's transfer to this entry.
+var dropped = []string{"Authorization", "X-Api-Key", "Api-Key", "Expect"}
 
 // cleanHeaders returns the headers that the upstream is given. The size of the body is
 // in bytes, or below 0 if it is not known.
 func cleanHeaders(q *http.Request, key string, size int64) []*wire.Header {
 	h := q.Header.Clone()
-	for _, v := range h.Values("Connection") {
-		for _, n := range strings.Split(v, ",") {
-			h.Del(textproto.TrimString(n))
-		}
-	}
+	hops.Strip(h)
 	for _, n := range dropped {
 		h.Del(n)
 	}
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -148,13 +148,13 @@
 	}
 	small := q.ContentLength >= 0 && q.ContentLength <= smallBody
 	if !small && q.Header.Get(idempotencyHeader) == "" {
-		return newBody(nil, false), "", nil
+		return newBody(limit, nil, false), "", nil
 	}
 	data, err := readBody(w, q, limit)
 	if err != nil {
 		return nil, "", err
 	}
-	return newBody(data, true), digest(q, data), nil
+	return newBody(limit, data, true), digest(q, data), nil
 }
 
 // stream reads the rest of a request's body while it is answered.
@@ -163,10 +163,7 @@
 		return
 	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	t := e.tree()
-	route, _ := t.RouteOfPath(q.URL.Path)
-	v, _ := t.OfRoute(route)
-	r := http.MaxBytesReader(w, q.Body, v.MaxBody)
+	r := http.MaxBytesReader(w, q.Body, s.body.limit)
 	e.tasks.Go(func() { s.body.read(r, s.signal) })
 }
 
