--- /dev/null
+++ b/agent/grants/grants.go
@@ -0,0 +1,203 @@
+// Package grants is the agent beside a model engine that entries speak to themselves: it
+// watches its engine, hands out the engine's places, tells entries what is free, and
+// decides with the other agents which stage the engine serves.
+package grants
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/link"
+	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/place"
+	"cranberrypoint.example/coord/stages"
+	"cranberrypoint.example/coord/tasks"
+	"cranberrypoint.example/coord/upconn"
+	"cranberrypoint.example/coord/wire"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// reportPeriod is the time between two questions to the engine.
+	reportPeriod = 50 * time.Millisecond
+	// reportTimeout bounds the answer to one.
+	reportTimeout = 500 * time.Millisecond
+	// soundFor is how long a report is trusted.
+	soundFor = time.Second
+	// tickPeriod is the time between two looks at waiting requests.
+	tickPeriod = 20 * time.Millisecond
+	// followPeriod is the longest time between two states that an entry is told.
+	followPeriod = 400 * time.Millisecond
+	// followGap is the shortest one.
+	followGap = 10 * time.Millisecond
+	// orderPeriod is the time between two looks for an order to be given.
+	orderPeriod = 500 * time.Millisecond
+	// maxReport bounds a report in bytes.
+	maxReport = 1 << 20
+)
+
+// Settings are those of an agent.
+type Settings struct {
+	VM         string
+	DataCentre string
+	// Listen is the address of the drpc server.
+	Listen string
+	// Upstream is the address of the engine.
+	Upstream string
+	Service  string
+	// Seeds are addresses of members to begin from.
+	Seeds []string
+	Codec calls.EngineCodec
+	Log   logrus.FieldLogger
+}
+
+// Grants is a running agent.
+type Grants struct {
+	wire.DRPCMeshUnimplementedServer
+
+	settings Settings
+	log      logrus.FieldLogger
+	mesh     *mesh.Mesh
+	engine   *upconn.Pool
+	ctx      context.Context
+	tasks    tasks.Group
+	born     time.Time
+
+	mu      sync.Mutex
+	ledger  *place.Ledger
+	stages  *stages.Stages
+	waiting map[string]chan place.Outcome
+	backlog int64
+	report  calls.EngineReport
+	// reported is when the engine last answered.
+	reported time.Time
+	orders   int64
+	// changed is closed and replaced whenever the state changes.
+	changed chan struct{}
+}
+
+// Start runs an agent and returns a function that stops it.
+func Start(s Settings) (g *Grants, stop func(), err error) {
+	defer fault.Annotate(&err, "start agent %s", s.VM)
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
+	links, closeLinks := link.NewPool(nil, link.WithPing(mesh.Ping))
+	engine, closeEngine := upconn.NewPool(nil)
+	g = &Grants{
+		settings: s,
+		log:      s.Log,
+		engine:   engine,
+		ctx:      ctx,
+		born:     now,
+		ledger:   place.New(),
+		stages:   stages.New(now, s.VM),
+		waiting:  map[string]chan place.Outcome{},
+		changed:  make(chan struct{}),
+	}
+	self := &wire.Member{
+		Name:        s.VM,
+		Role:        mesh.Agent,
+		DataCentre:  s.DataCentre,
+		Address:     l.Addr().String(),
+		Upstream:    s.Upstream,
+		Service:     s.Service,
+		Incarnation: now.UnixMilli(),
+	}
+	var stopMesh func()
+	g.mesh, stopMesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithRefresh(g.refresh))
+	g.tasks.Go(func() { _ = link.ServeMesh(ctx, l, nil, g) })
+	g.tasks.Go(func() { g.every(reportPeriod, g.ask) })
+	g.tasks.Go(func() { g.every(tickPeriod, g.tick) })
+	g.tasks.Go(func() { g.every(orderPeriod, g.direct) })
+	return g, func() {
+		cancel()
+		stopMesh()
+		closeLinks()
+		closeEngine()
+		g.tasks.Close()
+	}, nil
+}
+
+func (g *Grants) every(d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f()
+		case <-g.ctx.Done():
+			return
+		}
+	}
+}
+
+// refresh brings the agent's record up to date.
+func (g *Grants) refresh(self *wire.Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	self.Stage = wire.Stage_STAGE_UNKNOWN
+	if g.sound(time.Now()) {
+		self.Stage = g.report.Stage
+	}
+}
+
+// SetSeeds replaces the members to begin from.
+func (g *Grants) SetSeeds(s []string) { g.mesh.SetSeeds(s) }
+
+// Gossip answers a member.
+func (g *Grants) Gossip(ctx context.Context, q *wire.GossipRequest) (*wire.GossipReply, error) {
+	return g.mesh.Gossip(ctx, q)
+}
+
+// sound reports whether the engine answered lately. The lock is held.
+func (g *Grants) sound(now time.Time) bool { return now.Sub(g.reported) < soundFor }
+
+// tick looks at the waiting requests.
+func (g *Grants) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tell(g.ledger.Tick(time.Now()))
+}
+
+// tell passes outcomes on to those who wait. The lock is held.
+func (g *Grants) tell(out []place.Outcome) {
+	for _, o := range out {
+		if c := g.waiting[o.Request]; c != nil {
+			c <- o
+			delete(g.waiting, o.Request)
+		}
+	}
+	if len(out) > 0 {
+		g.notify()
+	}
+}
+
+// notify wakes the followers. The lock is held.
+func (g *Grants) notify() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// state returns what entries are told. The lock is held.
+func (g *Grants) state() *wire.PlaceState {
+	s := g.ledger.State()
+	return &wire.PlaceState{
+		Stage:       g.report.Stage,
+		Sound:       g.sound(time.Now()) && !g.report.Busy,
+		Running:     int32(s.Running),
+		Waiting:     int32(s.Waiting),
+		Room:        s.Room,
+		AgainMicros: s.Wait.Microseconds(),
+		Backlog:     g.backlog,
+		Memory:      s.Memory,
+		Slots:       int32(s.Slots),
+	}
+}
--- /dev/null
+++ b/coord/calls/calls.go
@@ -0,0 +1,137 @@
+// Package calls defines what an adapter translates: the messages of callers, upstreams
+// and the platform's store, as typed values without the names of any protocol.
+package calls
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cranberrypoint.example/coord/place"
+	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/rules"
+	"cranberrypoint.example/coord/wire"
+)
+
+// Call is what the headers of a caller's request say.
+type Call struct {
+	// ID names the caller's attempt.
+	ID string
+	// Key is empty if the caller presented none.
+	Key string
+	// Left is the time for which the caller will wait; 0 if it didn't say.
+	Left time.Duration
+	// Prompt and Most are the sizes of the prompt and of the longest answer in tokens;
+	// Sized is false if the caller didn't say.
+	Prompt int64
+	Most   int64
+	Sized  bool
+}
+
+// Send is what the system adds to a request for an upstream.
+type Send struct {
+	// Instance is the only life of an upstream that may run the request.
+	Instance string
+	// Workspace is empty on open routes without a key.
+	Workspace string
+	Left      time.Duration
+	// Prefill asks for the prompt to be read only.
+	Prefill bool
+	// Source is where the KV cache of a prompt that was read elsewhere is fetched from.
+	Source string
+	// Priority is the rank at the upstream; nil leaves it to the upstream.
+	Priority *int
+}
+
+// Load is what an upstream says of itself beside an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Answer is what the head of an upstream's answer says.
+type Answer struct {
+	// NotRun is true if the upstream did not and will not run the request.
+	NotRun bool
+	// Proven is true if the answer bears what shows that it is the upstream's own.
+	Proven bool
+	// OtherInstance is true if another upstream has the address.
+	OtherInstance bool
+	// Load is nil if the upstream didn't tell it.
+	Load *Load
+}
+
+// Handle names a KV cache that an engine keeps.
+type Handle struct {
+	ID string
+}
+
+// Codec translates the messages of callers and upstreams. It is safe for concurrent use.
+type Codec interface {
+	// Call reads a caller's headers.
+	Call(h http.Header) (Call, error)
+	// Prepare turns a caller's headers into those for an upstream.
+	Prepare(h http.Header, s Send)
+	// Answer reads the head of an upstream's answer.
+	Answer(status int, h http.Header) Answer
+	// Mine reports whether an upstream's answer can be that to the request of an id.
+	Mine(status int, h http.Header, id string) bool
+	// Handle reads the body of the answer to a prefill.
+	Handle(body []byte) (Handle, error)
+	// Source returns where a handle at an address can be fetched.
+	Source(address string, h Handle) string
+	// Free returns the method and path that free a handle.
+	Free(h Handle) (method, path string)
+	// Name puts the id of a request on the system's own answer.
+	Name(h http.Header, id string)
+}
+
+// EngineReport is what a model engine says of itself when asked.
+type EngineReport struct {
+	Stage wire.Stage
+	// Busy is true while the engine carries out an order.
+	Busy bool
+	// Orders is the number of orders that the engine has accepted.
+	Orders int64
+	Place  place.Report
+}
+
+// Order tells an engine to change its stage.
+type Order struct {
+	Stage wire.Stage
+	// Holder names the process that gives the order.
+	Holder string
+	// Fence grows with each holder and over its restarts.
+	Fence int64
+	// After is the number of accepted orders on which the order was decided.
+	After int64
+}
+
+// EngineCodec translates the messages between an agent and its engine.
+type EngineCodec interface {
+	// ReportPath returns the path at which an engine reports.
+	ReportPath() string
+	// Report reads an engine's report.
+	Report(body []byte) (EngineReport, error)
+	// Order returns the path and body of an order.
+	Order(o Order) (path string, body []byte, err error)
+}
+
+// Listing is what the store held at one moment.
+type Listing struct {
+	// Rules are the newest configuration; nil if none was published yet.
+	Rules *rules.Rules
+	// Upstreams are the listed upstreams.
+	Upstreams []roster.Upstream
+	// Revision is that of the store.
+	Revision uint64
+	// Unreadable counts the entries that name no upstream.
+	Unreadable int
+}
+
+// Store reads what the platform publishes.
+type Store interface {
+	// List reads everything. What it returns was true at some moment during the call.
+	List(ctx context.Context) (Listing, error)
+}
--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -40,18 +40,31 @@
 	until time.Time
 }
 
+// Ping asks the other end of a connection for a sign of life.
+type Ping func(ctx context.Context, c drpc.Conn) error
+
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	tls  *tls.Config
+	ping Ping
 	mu   sync.Mutex
 	idle map[string][]idle
 	shut bool
 }
 
+// Option changes a pool.
+type Option func(*Pool)
+
+// WithPing replaces the call by which an idle connection is checked.
+func WithPing(f Ping) Option { return func(p *Pool) { p.ping = f } }
+
 // NewPool returns a pool and a function that closes it. A nil configuration means
 // plain TCP.
-func NewPool(c *tls.Config) (p *Pool, closeAll func()) {
-	p = &Pool{tls: c, idle: map[string][]idle{}}
+func NewPool(c *tls.Config, opts ...Option) (p *Pool, closeAll func()) {
+	p = &Pool{tls: c, ping: pingPeer, idle: map[string][]idle{}}
+	for _, o := range opts {
+		o(p)
+	}
 	return p, p.close
 }
 
@@ -81,7 +94,7 @@
 		if !ok {
 			break
 		}
-		if time.Now().Before(i.check) || alive(ctx, i.conn) {
+		if time.Now().Before(i.check) || p.alive(ctx, i.conn) {
 			return i.conn, p.release(address, i.conn), nil
 		}
 		p.fail(address, i.conn)
@@ -93,12 +106,15 @@
 	return conn, p.release(address, conn), nil
 }
 
-// alive asks the other end for a sign of life.
-func alive(ctx context.Context, c drpc.Conn) bool {
+func (p *Pool) alive(ctx context.Context, c drpc.Conn) bool {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
+	return p.ping(ctx, c) == nil
+}
+
+func pingPeer(ctx context.Context, c drpc.Conn) error {
 	_, err := wire.NewDRPCPeerClient(c).Exchange(ctx, &wire.Digest{Ping: true})
-	return err == nil
+	return err
 }
 
 func (p *Pool) take(address string) (i idle, ok bool) {
@@ -208,6 +224,11 @@
 	return wire.NewDRPCAgentClient(c).Cancel(ctx, m)
 }
 
+// Gossip calls a member's Gossip.
+func Gossip(c drpc.Conn, ctx context.Context, m *wire.GossipRequest) (*wire.GossipReply, error) {
+	return wire.NewDRPCMeshClient(c).Gossip(ctx, m)
+}
+
 // Serve serves the peer protocol, and the agent's where agent is not nil, until the
 // context ends.
 func Serve(ctx context.Context, l net.Listener, c *tls.Config, peer wire.DRPCPeerServer, agent wire.DRPCAgentServer) (err error) {
@@ -221,6 +242,20 @@
 			return err
 		}
 	}
+	return serve(ctx, l, c, m)
+}
+
+// ServeMesh serves the mesh protocol until the context ends.
+func ServeMesh(ctx context.Context, l net.Listener, c *tls.Config, s wire.DRPCMeshServer) (err error) {
+	defer fault.Annotate(&err, "serve %s", l.Addr())
+	m := drpcmux.New()
+	if err := wire.DRPCRegisterMesh(m, s); err != nil {
+		return err
+	}
+	return serve(ctx, l, c, m)
+}
+
+func serve(ctx context.Context, l net.Listener, c *tls.Config, m *drpcmux.Mux) error {
 	if c != nil {
 		l = tls.NewListener(l, c)
 	}
--- /dev/null
+++ b/coord/member/member.go
@@ -0,0 +1,199 @@
+// Package member is the reducer by which processes find each other without a list: each
+// knows a few addresses to begin from, and all pass on what they heard of others.
+//
+// A record belongs to the process that it describes, which alone makes it newer: by its
+// incarnation, and within that by its beat. A process counts as live while its beat is
+// seen to advance, by the clock of whoever looks; no clock is compared with another's.
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"cranberrypoint.example/coord/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// Period is the time between two heartbeats and exchanges.
+	Period = 400 * time.Millisecond
+	// silence is the time without a new beat after which a member counts as dead.
+	silence = 3 * time.Second
+	// forget is the time without a new beat after which its record is dropped.
+	forget = 10 * time.Second
+	// MaxRecords bounds the records in a message, so that the size of an exchange doesn't
+	// grow with the fleet.
+	MaxRecords = 60
+	// seedOdds is one in how many exchanges goes to a seed although members are known:
+	// parts that formed apart find each other by it.
+	seedOdds = 5
+)
+
+type known struct {
+	record   *wire.Member
+	advanced time.Time
+}
+
+// Members is the reducer. Use New.
+type Members struct {
+	self  *wire.Member
+	seeds []string
+	rand  *rand.Rand
+	all   map[string]*known
+}
+
+// New returns the members as known to a process that starts.
+func New(self *wire.Member, seeds []string, seed uint64) *Members {
+	return &Members{
+		self:  proto.CloneOf(self),
+		seeds: seeds,
+		rand:  rand.New(rand.NewPCG(seed, seed)),
+		all:   map[string]*known{},
+	}
+}
+
+// SetSeeds replaces the addresses to begin from.
+func (m *Members) SetSeeds(s []string) { m.seeds = s }
+
+// Update changes the process's own record.
+func (m *Members) Update(f func(self *wire.Member)) {
+	f(m.self)
+	m.self.Beat++
+}
+
+// Self returns a copy of the process's own record.
+func (m *Members) Self() *wire.Member { return proto.CloneOf(m.self) }
+
+// Beat makes the own record newer, forgets the dead and returns the addresses to
+// exchange with.
+func (m *Members) Beat(now time.Time) (targets []string) {
+	m.self.Beat++
+	var live []string
+	for n, k := range m.all {
+		switch {
+		case now.Sub(k.advanced) > forget:
+			delete(m.all, n)
+		case m.live(now, k):
+			live = append(live, k.record.Address)
+		}
+	}
+	slices.Sort(live)
+	if len(live) > 0 {
+		targets = append(targets, live[m.rand.IntN(len(live))])
+	}
+	if s := m.seed(); s != "" && (len(live) == 0 || m.rand.IntN(seedOdds) == 0) {
+		targets = append(targets, s)
+	}
+	return targets
+}
+
+// seed returns a random seed that isn't the process itself.
+func (m *Members) seed() string {
+	others := slices.DeleteFunc(slices.Clone(m.seeds), func(a string) bool { return a == m.self.Address })
+	if len(others) == 0 {
+		return ""
+	}
+	return others[m.rand.IntN(len(others))]
+}
+
+func (m *Members) live(now time.Time, k *known) bool {
+	return !k.record.Leaving && now.Sub(k.advanced) <= silence
+}
+
+// Request returns what to send to a peer.
+func (m *Members) Request() *wire.GossipRequest {
+	q := &wire.GossipRequest{Self: proto.CloneOf(m.self)}
+	for _, n := range m.sample() {
+		r := m.all[n].record
+		q.Seen = append(q.Seen, &wire.Seen{Name: n, Incarnation: r.Incarnation, Beat: r.Beat})
+	}
+	return q
+}
+
+// sample returns the names of up to MaxRecords members.
+func (m *Members) sample() []string {
+	names := make([]string, 0, len(m.all))
+	for n := range m.all {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	if len(names) > MaxRecords {
+		m.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		names = names[:MaxRecords]
+	}
+	return names
+}
+
+// Answer takes in a peer's request and returns the records that the peer lacks.
+func (m *Members) Answer(now time.Time, q *wire.GossipRequest) *wire.GossipReply {
+	if q.Self != nil {
+		m.take(now, q.Self)
+	}
+	held := make(map[string]*wire.Seen, len(q.Seen))
+	for _, s := range q.Seen {
+		held[s.Name] = s
+	}
+	a := &wire.GossipReply{Members: []*wire.Member{proto.CloneOf(m.self)}}
+	for _, n := range m.sample() {
+		k := m.all[n]
+		s := held[n]
+		if n == q.Self.GetName() || now.Sub(k.advanced) > silence || s != nil && !newer(k.record, s.Incarnation, s.Beat) {
+			continue
+		}
+		a.Members = append(a.Members, proto.CloneOf(k.record))
+	}
+	return a
+}
+
+// Take takes in a peer's reply.
+func (m *Members) Take(now time.Time, a *wire.GossipReply) {
+	for _, r := range a.GetMembers() {
+		m.take(now, r)
+	}
+}
+
+func newer(r *wire.Member, incarnation int64, beat uint64) bool {
+	return r.Incarnation > incarnation || r.Incarnation == incarnation && r.Beat > beat
+}
+
+func (m *Members) take(now time.Time, r *wire.Member) {
+	if r.Name == m.self.Name {
+		// A record of an earlier life whose clock was ahead: this life must be newer.
+		if r.Incarnation > m.self.Incarnation {
+			m.self.Incarnation = r.Incarnation + 1
+			m.self.Beat = 0
+		}
+		return
+	}
+	k := m.all[r.Name]
+	if k != nil && !newer(r, k.record.Incarnation, k.record.Beat) {
+		return
+	}
+	m.all[r.Name] = &known{r, now}
+}
+
+// Live returns the live members of a role in the order of their names, without the
+// process itself.
+func (m *Members) Live(now time.Time, role string) (l []*wire.Member) {
+	for _, k := range m.all {
+		if k.record.Role == role && m.live(now, k) {
+			l = append(l, k.record)
+		}
+	}
+	slices.SortFunc(l, func(a, b *wire.Member) int { return strings.Compare(a.Name, b.Name) })
+	return l
+}
+
+// Recent returns the number of members of a role that were heard of within forget,
+// dead or alive. It falls slowly, so shares of a limit that are divided by it grow only
+// after the dead can't use theirs any more.
+func (m *Members) Recent(role string) (n int) {
+	for _, k := range m.all {
+		if k.record.Role == role {
+			n++
+		}
+	}
+	return n
+}
--- a/coord/opsrv/metrics.go
+++ b/coord/opsrv/metrics.go
@@ -44,3 +44,15 @@
 	r.MustRegister(h)
 	return h
 }
+
+// Latencies returns a family of histograms of seconds that is registered.
+func Latencies(r prometheus.Registerer, name, help string, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: Namespace,
+		Name:      name,
+		Help:      help,
+		Buckets:   latencyBuckets,
+	}, labels)
+	r.MustRegister(h)
+	return h
+}
--- /dev/null
+++ b/coord/place/place.go
@@ -0,0 +1,291 @@
+// Package place is the reducer that hands out the places of one model engine: a slot of
+// its batch, and memory up to the end of the run.
+//
+// It answers the load pattern that costs streams most: answers are much longer than
+// prompts, so an engine that admits by free slots runs out of memory seconds later and
+// preempts. A run is admitted only if the sum of all runs, each growing to its most, stays
+// within memory until the last has ended. Runs at different points of their answers
+// peak at different times, which the plan counts, so no memory is kept for sums that
+// can't occur.
+//
+// In a burst, requests that can still begin in time go first, the earliest deadline
+// before the others; those that have become late take what is left, in order of arrival.
+// A request that can't get a place within its patience is refused at once, with the time
+// at which a place is likely.
+package place
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// unseen is how long a granted run may be missing from the engine's reports.
+	unseen = 5 * time.Second
+	// vanished is how long a run that was seen may be missing before it counts as ended.
+	vanished = 300 * time.Millisecond
+	// firstStep is the time of a step before one was observed.
+	firstStep = time.Millisecond
+	// firstMost is the answer's length, in tokens, that is expected before one was asked for.
+	firstMost = 1024
+	// firstSlots is the size of the batch before an entry told it.
+	firstSlots = 8
+	// smooth is the weight of a new sample in an average.
+	smooth = 0.2
+)
+
+// Ask is a request for a place.
+type Ask struct {
+	Request string
+	// Prompt is in tokens.
+	Prompt int64
+	// Most is the longest answer in tokens.
+	Most int64
+	// Priority 0 is served first.
+	Priority int
+	// Timely is when the place must be there for the answer to begin in time; zero if it
+	// is late already.
+	Timely time.Time
+	// Patience is when the place is of no use any more.
+	Patience time.Time
+}
+
+// Outcome is the answer to an Ask.
+type Outcome struct {
+	Request string
+	Granted bool
+	// Reason says why a place was refused.
+	Reason string
+	// Again is when a place is likely, after a refusal.
+	Again time.Time
+}
+
+// Reasons of refusals.
+const (
+	NeverFits = "larger than the engine's memory"
+	NoPlace   = "no place is expected in time"
+	Waited    = "no place came free in time"
+)
+
+// Running is a run that an engine reports.
+type Running struct {
+	Request string
+	// Tokens is the memory that it holds.
+	Tokens int64
+}
+
+// Report is what an engine says of itself.
+type Report struct {
+	// Memory is the engine's KV cache in tokens.
+	Memory int64
+	Runs   []Running
+	// Born is the Unix time in milliseconds of the engine's start.
+	Born int64
+}
+
+type run struct {
+	tokens int64
+	end    int64
+	// seen is when the engine last reported the run; zero if it never did.
+	seen    time.Time
+	granted time.Time
+}
+
+func (r *run) growth() growth { return growth{r.tokens, max(0, r.end-r.tokens)} }
+
+// Ledger is the reducer. Use New.
+type Ledger struct {
+	memory int64
+	slots  int
+	born   int64
+	runs   map[string]*run
+	queue  []Ask
+	// step is the average time of a step of the batch.
+	step time.Duration
+	// most and prompt are averages of what was asked for, in tokens.
+	most     float64
+	prompt   float64
+	reported time.Time
+}
+
+// New returns a ledger that grants nothing before the engine has reported its memory.
+func New() *Ledger {
+	return &Ledger{slots: firstSlots, runs: map[string]*run{}, step: firstStep, most: firstMost, prompt: firstMost}
+}
+
+// SetSlots sets the size of the engine's batch.
+func (l *Ledger) SetSlots(n int) {
+	if n > 0 {
+		l.slots = n
+	}
+}
+
+// Ask takes in a request for a place. Its outcome may come from a later call.
+func (l *Ledger) Ask(now time.Time, a Ask) []Outcome {
+	l.most += smooth * (float64(a.Most) - l.most)
+	l.prompt += smooth * (float64(a.Prompt) - l.prompt)
+	n := growth{a.Prompt, a.Most}
+	if l.memory > 0 && peak([]growth{n}) > l.memory {
+		return []Outcome{{Request: a.Request, Reason: NeverFits, Again: now}}
+	}
+	if w := l.wait(n, l.ahead(now, a)); now.Add(w).After(a.Patience) {
+		return []Outcome{{Request: a.Request, Reason: NoPlace, Again: now.Add(w)}}
+	}
+	l.queue = append(l.queue, a)
+	return l.Tick(now)
+}
+
+// ahead returns the number of waiting requests that go before a.
+func (l *Ledger) ahead(now time.Time, a Ask) (n int) {
+	for _, q := range l.queue {
+		if before(now, q, a) <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// wait returns the time after which a run is expected to fit.
+func (l *Ledger) wait(n growth, ahead int) time.Duration {
+	return time.Duration(stepsUntil(l.growths(), n, l.memory, l.slots, ahead)) * l.step
+}
+
+func (l *Ledger) growths() []growth {
+	g := make([]growth, 0, len(l.runs))
+	for _, r := range l.runs {
+		g = append(g, r.growth())
+	}
+	return g
+}
+
+// before orders waiting requests: the timely ones first, by priority and deadline.
+func before(now time.Time, a, b Ask) int {
+	timely := func(x Ask) bool { return x.Timely.After(now) }
+	switch {
+	case timely(a) != timely(b):
+		if timely(a) {
+			return -1
+		}
+		return 1
+	case a.Priority != b.Priority:
+		return a.Priority - b.Priority
+	case timely(a):
+		return a.Timely.Compare(b.Timely)
+	}
+	return a.Patience.Compare(b.Patience)
+}
+
+// Tick grants what fits and refuses those whose patience is over.
+func (l *Ledger) Tick(now time.Time) (out []Outcome) {
+	l.queue = slices.DeleteFunc(l.queue, func(a Ask) bool {
+		if now.Before(a.Patience) {
+			return false
+		}
+		w := l.wait(growth{a.Prompt, a.Most}, 0)
+		out = append(out, Outcome{Request: a.Request, Reason: Waited, Again: now.Add(w)})
+		return true
+	})
+	slices.SortStableFunc(l.queue, func(a, b Ask) int { return before(now, a, b) })
+	for len(l.queue) > 0 {
+		a := l.queue[0]
+		if !fits(l.growths(), growth{a.Prompt, a.Most}, l.memory, l.slots) {
+			break
+		}
+		l.queue = l.queue[1:]
+		l.runs[a.Request] = &run{tokens: a.Prompt, end: a.Prompt + a.Most, granted: now}
+		out = append(out, Outcome{Request: a.Request, Granted: true})
+	}
+	return out
+}
+
+// Release ends a request's place or its wait.
+func (l *Ledger) Release(now time.Time, request string) []Outcome {
+	delete(l.runs, request)
+	l.queue = slices.DeleteFunc(l.queue, func(a Ask) bool { return a.Request == request })
+	return l.Tick(now)
+}
+
+// Observe takes in the engine's report, which is newer than what was granted.
+func (l *Ledger) Observe(now time.Time, r Report) []Outcome {
+	if r.Born != l.born {
+		// The engine has restarted: what ran there is gone.
+		clear(l.runs)
+		l.born = r.Born
+	}
+	l.memory = r.Memory
+	l.learn(now, r)
+	for _, x := range r.Runs {
+		l.saw(now, x)
+	}
+	for n, x := range l.runs {
+		if l.ended(now, x) {
+			delete(l.runs, n)
+		}
+	}
+	l.reported = now
+	return l.Tick(now)
+}
+
+// saw updates a run. One that isn't known, such as that of an earlier life of the
+// agent, is expected to take as long as others.
+func (l *Ledger) saw(now time.Time, x Running) {
+	k := l.runs[x.Request]
+	if k == nil {
+		k = &run{end: x.Tokens + int64(l.most), granted: now}
+		l.runs[x.Request] = k
+	}
+	k.tokens = max(k.tokens, x.Tokens)
+	k.seen = now
+}
+
+func (l *Ledger) ended(now time.Time, x *run) bool {
+	if x.seen.IsZero() {
+		return now.Sub(x.granted) > unseen
+	}
+	return now.Sub(x.seen) > vanished
+}
+
+// learn estimates the time of a step from the growth of the runs since the last report.
+func (l *Ledger) learn(now time.Time, r Report) {
+	passed := now.Sub(l.reported)
+	if l.reported.IsZero() || passed <= 0 {
+		return
+	}
+	for _, x := range r.Runs {
+		k := l.runs[x.Request]
+		if k == nil || k.seen != l.reported || x.Tokens <= k.tokens {
+			continue
+		}
+		s := passed / time.Duration(x.Tokens-k.tokens)
+		l.step += time.Duration(smooth * float64(s-l.step))
+	}
+}
+
+// State is what others need to know of the ledger.
+type State struct {
+	Running int
+	Waiting int
+	// Room is the largest prompt, in tokens, that would be admitted with an answer of the
+	// usual length.
+	Room   int64
+	Memory int64
+	Slots  int
+	// Wait is the time until a request of the usual size is expected to get a place.
+	Wait time.Duration
+}
+
+// State returns the present state.
+func (l *Ledger) State() State {
+	g := l.growths()
+	s := State{
+		Running: len(l.runs),
+		Waiting: len(l.queue),
+		Memory:  l.memory,
+		Slots:   l.slots,
+		Wait:    l.wait(growth{int64(l.prompt), int64(l.most)}, len(l.queue)),
+	}
+	if s.Waiting == 0 {
+		s.Room = room(g, int64(l.most), l.memory, l.slots)
+	}
+	return s
+}
--- /dev/null
+++ b/coord/place/place_test.go
@@ -0,0 +1,197 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ask(name string, prompt, most int64, timely, patience time.Duration) Ask {
+	a := Ask{Request: name, Prompt: prompt, Most: most, Patience: epoch.Add(patience)}
+	if timely > 0 {
+		a.Timely = epoch.Add(timely)
+	}
+	return a
+}
+
+func ledger(memory int64) *Ledger {
+	l := New()
+	l.SetSlots(4)
+	l.Observe(epoch, Report{Memory: memory, Born: 1})
+	return l
+}
+
+func granted(out []Outcome) (names []string) {
+	for _, o := range out {
+		if o.Granted {
+			names = append(names, o.Request)
+		}
+	}
+	return names
+}
+
+// TestPeakCountsThatRunsEndAtDifferentTimes compares the plan with a run step by step.
+func TestPeakCountsThatRunsEndAtDifferentTimes(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		runs := make([]growth, 1+r.IntN(6))
+		for i := range runs {
+			runs[i] = growth{int64(r.IntN(50)), int64(r.IntN(40))}
+		}
+		var want int64
+		for s := int64(0); s <= 40; s++ {
+			var sum int64
+			for _, g := range runs {
+				if g.left >= s {
+					sum += g.tokens + block + s
+				}
+			}
+			want = max(want, sum)
+		}
+		if d := cmp.Diff(want, peak(runs)); d != "" {
+			t.Fatalf("peak of %v (-want +got):\n%s", runs, d)
+		}
+	}
+}
+
+// TestStaggeredRunsShareMemory admits a run whose end comes after those of the others,
+// although the sum of all ends is larger than the memory.
+func TestStaggeredRunsShareMemory(t *testing.T) {
+	l := ledger(1000)
+	l.Ask(epoch, ask("a", 400, 100, time.Second, time.Second))
+	l.Observe(epoch, Report{Memory: 1000, Born: 1, Runs: []Running{{"a", 495}}})
+	out := l.Ask(epoch, ask("b", 300, 400, time.Second, time.Second))
+	if d := cmp.Diff([]string{"b"}, granted(out)); d != "" {
+		t.Errorf("granted (-want +got):\n%s", d)
+	}
+}
+
+// TestBurst replays a burst: one place, and more requests than can begin in time.
+func TestBurst(t *testing.T) {
+	l := ledger(1000)
+	if d := cmp.Diff([]string{"first"}, granted(l.Ask(epoch, ask("first", 500, 300, time.Second, 3*time.Second)))); d != "" {
+		t.Fatalf("granted (-want +got):\n%s", d)
+	}
+	l.Ask(epoch, ask("late", 500, 300, 0, 3*time.Second))
+	l.Ask(epoch, ask("second", 500, 300, 900*time.Millisecond, 3*time.Second))
+	l.Ask(epoch, ask("soonest", 500, 300, 600*time.Millisecond, 3*time.Second))
+	var order []string
+	for _, n := range []string{"first", "soonest", "second"} {
+		order = append(order, granted(l.Release(epoch.Add(400*time.Millisecond), n))...)
+	}
+	if d := cmp.Diff([]string{"soonest", "second", "late"}, order); d != "" {
+		t.Errorf("order of grants (-want +got):\n%s", d)
+	}
+}
+
+// TestHopelessIsRefusedAtOnce names the time at which a place is likely.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	l := ledger(1000)
+	l.Ask(epoch, ask("long", 500, 300, time.Second, time.Second))
+	got := l.Ask(epoch, ask("hopeless", 500, 300, 100*time.Millisecond, 200*time.Millisecond))
+	want := []Outcome{{Request: "hopeless", Reason: NoPlace, Again: epoch.Add(300 * firstStep)}}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("outcome (-want +got):\n%s", d)
+	}
+	got = l.Ask(epoch, ask("huge", 900, 300, time.Second, time.Second))
+	want = []Outcome{{Request: "huge", Reason: NeverFits, Again: epoch}}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("outcome (-want +got):\n%s", d)
+	}
+}
+
+// TestPatienceEnds refuses a request whose place didn't come, as soon as its time is over.
+func TestPatienceEnds(t *testing.T) {
+	l := ledger(1000)
+	l.Ask(epoch, ask("long", 500, 300, time.Second, time.Second))
+	l.Ask(epoch, ask("waits", 500, 300, 400*time.Millisecond, 400*time.Millisecond))
+	l.Observe(epoch.Add(399*time.Millisecond), Report{Memory: 1000, Born: 1, Runs: []Running{{"long", 600}}})
+	out := l.Tick(epoch.Add(400 * time.Millisecond))
+	if len(out) != 1 || out[0].Reason != Waited {
+		t.Errorf("outcome: %v; a refusal of waits would be right", out)
+	}
+}
+
+// TestMemoryIsFreedOnEveryWayOut covers a run that its entry forgot, one that never
+// started, and the restart of the engine.
+func TestMemoryIsFreedOnEveryWayOut(t *testing.T) {
+	l := ledger(1000)
+	l.Ask(epoch, ask("a", 100, 100, time.Second, time.Second))
+	l.Ask(epoch, ask("b", 100, 100, time.Second, time.Second))
+	now := epoch.Add(10 * time.Millisecond)
+	l.Observe(now, Report{Memory: 1000, Born: 1, Runs: []Running{{"a", 110}}})
+	now = now.Add(vanished + time.Millisecond)
+	l.Observe(now, Report{Memory: 1000, Born: 1})
+	if d := cmp.Diff(1, l.State().Running); d != "" {
+		t.Errorf("running after a vanished (-want +got):\n%s", d)
+	}
+	now = now.Add(unseen)
+	l.Observe(now, Report{Memory: 1000, Born: 1})
+	if d := cmp.Diff(0, l.State().Running); d != "" {
+		t.Errorf("running after b was never seen (-want +got):\n%s", d)
+	}
+	l.Ask(now, Ask{Request: "c", Prompt: 100, Most: 100, Patience: now.Add(time.Second)})
+	l.Observe(now, Report{Memory: 1000, Born: 2})
+	if d := cmp.Diff(0, l.State().Running); d != "" {
+		t.Errorf("running after a restart (-want +got):\n%s", d)
+	}
+}
+
+// TestNeverPreempted runs random loads against an engine of the same memory: with the
+// plan, no step needs more than there is.
+func TestNeverPreempted(t *testing.T) {
+	const memory = 5000
+	for seed := range uint64(30) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		l := New()
+		l.SetSlots(8)
+		type job struct{ tokens, end int64 }
+		jobs := map[string]*job{}
+		asked := map[string]job{}
+		now, n := epoch, 0
+		start := func(out []Outcome) {
+			for _, o := range out {
+				if o.Granted {
+					j := asked[o.Request]
+					jobs[o.Request] = &j
+				}
+			}
+		}
+		for range 3000 {
+			now = now.Add(time.Millisecond)
+			if r.IntN(20) == 0 {
+				n++
+				p, m := int64(50+r.IntN(900)), int64(10+r.IntN(900))
+				name := fmt.Sprint(n)
+				asked[name] = job{p, p + int64(1+r.IntN(int(m)))}
+				start(l.Ask(now, Ask{Request: name, Prompt: p, Most: m, Patience: now.Add(time.Second)}))
+			}
+			var used int64
+			var rep []Running
+			for name, j := range jobs {
+				j.tokens++
+				if j.tokens >= j.end {
+					delete(jobs, name)
+					start(l.Release(now, name))
+					continue
+				}
+				used += j.tokens
+				rep = append(rep, Running{name, j.tokens})
+			}
+			if used > memory {
+				t.Fatalf("seed %d: %d tokens in use, %d there", seed, used, memory)
+			}
+			if r.IntN(10) == 0 {
+				start(l.Observe(now, Report{Memory: memory, Born: 1, Runs: rep}))
+			}
+		}
+		if n > 50 && len(asked) == 0 {
+			t.Fatalf("seed %d: nothing ran", seed)
+		}
+	}
+}
--- a/coord/wire/doc.go
+++ b/coord/wire/doc.go
@@ -4,4 +4,4 @@
 // build needs no generator. Durations are microseconds, sizes are bytes.
 package wire
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative wire.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative wire.proto mesh.proto
--- /dev/null
+++ b/entry/proxy/engines.go
@@ -0,0 +1,152 @@
+package proxy
+
+import (
+	"time"
+
+	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/rules"
+	"cranberrypoint.example/coord/wire"
+)
+
+const (
+	// smooth is the weight of a new sample in an average.
+	smooth = 0.1
+	// aloneShare is the part of an engine's memory that entries hand out without its agent,
+	// each an equal part of it.
+	aloneShare = 0.7
+)
+
+// engines holds what an entry has learned of engines and callers.
+type engines struct {
+	// perToken is the time in which an engine reads a prompt token; 0 until one was read.
+	perToken float64
+	// longest is the longest time that callers of a route wait, by route. A caller that
+	// waits less has waited before.
+	longest map[string]time.Duration
+	// alone counts the tokens that this entry holds at an instance without its agent.
+	alone map[string]int64
+}
+
+func newEngines() *engines {
+	return &engines{longest: map[string]time.Duration{}, alone: map[string]int64{}}
+}
+
+// learnRead takes in the time in which some tokens were read.
+func (e *engines) learnRead(tokens int64, d time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	s := float64(d) / float64(tokens)
+	if e.perToken == 0 {
+		e.perToken = s
+		return
+	}
+	e.perToken += smooth * (s - e.perToken)
+}
+
+// readTime returns the expected time in which some tokens are read.
+func (e *engines) readTime(tokens int64) time.Duration {
+	return time.Duration(e.perToken * float64(tokens))
+}
+
+// waited returns how long a caller has waited before this attempt.
+func (e *engines) waited(route string, left time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
+	if left > e.longest[route] {
+		e.longest[route] = left
+	}
+	return e.longest[route] - left
+}
+
+// spot is an engine with what its agent tells, if it is heard.
+type spot struct {
+	up       roster.Upstream
+	follower *follower
+	state    *wire.PlaceState
+	stage    wire.Stage
+}
+
+// spots returns the engines of a service that may be used in a stage. The lock is held.
+func (p *Proxy) spots(service string, stage wire.Stage, tried map[string]bool) (l []spot) {
+	now := time.Now()
+	for _, u := range p.view.Load().services[service] {
+		if tried[u.Instance] || p.picker.Out(now, u.Instance) {
+			continue
+		}
+		s := spot{up: u, stage: u.Stage}
+		if f := p.followed[u.Address]; f.heard(now) {
+			if !f.state.Sound {
+				continue
+			}
+			s.follower, s.state, s.stage = f, f.state, f.state.Stage
+		}
+		if s.stage == stage {
+			l = append(l, s)
+		}
+	}
+	return l
+}
+
+// decodeSpot returns the engine at which a run is expected to get a place first, and
+// whether it has one now.
+func (p *Proxy) decodeSpot(x *exchange, tried map[string]bool) (best spot, now, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var least float64
+	for _, s := range p.spots(x.service.Name, wire.Stage_STAGE_DECODE, tried) {
+		c, free := p.decodeCost(x, s)
+		if !ok || c < least {
+			best, least, now, ok = s, c, free, true
+		}
+	}
+	return best, now, ok
+}
+
+// decodeCost orders engines: those with room by the part of the memory that is free,
+// before those without by the time until a place is likely.
+func (p *Proxy) decodeCost(x *exchange, s spot) (cost float64, free bool) {
+	if s.state == nil {
+		room := p.aloneRoom(x.service.Engine, s.up)
+		if room < x.call.Prompt+x.call.Most {
+			return 3, false
+		}
+		return 1 - float64(room)/float64(x.service.Engine.Memory), true
+	}
+	pending := int64(s.follower.asked) * (x.call.Prompt + x.call.Most/2)
+	if room := s.state.Room - pending; s.state.Waiting == 0 && room >= x.call.Prompt {
+		return 1 - float64(room)/float64(max(1, s.state.Memory)), true
+	}
+	again := micros(s.state.AgainMicros)
+	queue := float64(int(s.state.Waiting)+s.follower.asked) / float64(max(1, s.state.Slots))
+	return 2 + again.Seconds() + queue, false
+}
+
+// aloneRoom returns the tokens that this entry may still hand out at an engine whose
+// agent isn't heard.
+func (p *Proxy) aloneRoom(e *rules.Engine, u roster.Upstream) int64 {
+	n := int64(1 + p.mesh.Recent("entry"))
+	return int64(aloneShare*float64(e.Memory))/n - p.engines.alone[u.Instance]
+}
+
+// prefillSpot returns the engine that reads a prompt first, and the tokens before it.
+func (p *Proxy) prefillSpot(x *exchange, tried map[string]bool) (best spot, backlog int64, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.spots(x.service.Name, wire.Stage_STAGE_PREFILL, tried) {
+		n := p.reading(s)
+		if !ok || n < backlog {
+			best, backlog, ok = s, n, true
+		}
+	}
+	return best, backlog, ok
+}
+
+// reading returns the prompt tokens that an engine has yet to read.
+func (p *Proxy) reading(s spot) int64 {
+	if s.state == nil {
+		return p.engines.alone[s.up.Instance] * int64(1+p.mesh.Recent("entry"))
+	}
+	return max(s.state.Backlog, s.follower.reading)
+}
--- /dev/null
+++ b/entry/proxy/exchange.go
@@ -0,0 +1,170 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/rules"
+	"github.com/sirupsen/logrus"
+)
+
+// exchange is one request of a caller and what became of it.
+type exchange struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	arrived time.Time
+	// deadline is when the request must have its final answer.
+	deadline time.Time
+	call     calls.Call
+	route    *rules.Route
+	service  *rules.Service
+	path     string
+	body     []byte
+	// workspace is nil on open routes without a key.
+	workspace *rules.Workspace
+	// tokens were taken from the workspace's limit.
+	tokens int64
+	// sent is true once an upstream may have run the request.
+	sent bool
+	// answered is true once the head of an answer was written.
+	answered bool
+	note     note
+}
+
+// note is what the log line of a request tells besides its identity.
+type note struct {
+	status   int
+	outcome  string
+	cause    string
+	sends    int
+	instance string
+	prefill  string
+	waited   time.Duration
+	read     time.Duration
+	first    time.Duration
+	bytes    int64
+	version  uint64
+	age      time.Duration
+}
+
+// Outcomes of requests.
+const (
+	outcomeAnswered = "answered"
+	outcomeRefused  = "refused"
+	outcomeFailed   = "failed"
+	outcomeCut      = "cut"
+	outcomeLeft     = "caller-left"
+)
+
+func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
+
+func (x *exchange) kind() string {
+	if x.route == nil {
+		return "unknown"
+	}
+	return string(x.route.Kind)
+}
+
+// workspaceName returns the name of the workspace, or nothing.
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+// statuses of the faults that this door tells. Those of requests that didn't run and
+// never will are promises.
+func status(c fault.Code) int {
+	switch c {
+	case fault.BadRequest:
+		return http.StatusBadRequest
+	case fault.BadKey:
+		return http.StatusUnauthorized
+	case fault.NoRoute:
+		return http.StatusNotFound
+	case fault.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case fault.OverLimit:
+		return http.StatusTooManyRequests
+	case fault.Unclear, fault.UpstreamError:
+		return http.StatusBadGateway
+	case fault.TooLate:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// fail ends an exchange with an answer of the system's own. A fault that says that the
+// request didn't run turns into one that promises nothing if it may have.
+func (p *Proxy) fail(x *exchange, e *fault.Error) {
+	code := status(e.Code)
+	if x.sent && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
+		code = http.StatusBadGateway
+	}
+	x.note.cause = e.Error()
+	x.note.status = code
+	x.note.outcome = outcomeRefused
+	if x.sent {
+		x.note.outcome = outcomeFailed
+	} else {
+		p.refund(x)
+	}
+	if x.r.Context().Err() != nil {
+		x.note.outcome = outcomeLeft
+		return
+	}
+	h := x.w.Header()
+	p.codec.Name(h, x.call.ID)
+	if !e.Again.IsZero() && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
+		h.Set("Retry-After", strconv.FormatFloat(max(0, time.Until(e.Again).Seconds()), 'f', 2, 64))
+	}
+	h.Set("Content-Type", "application/json")
+	b, err := json.Marshal(map[string]map[string]string{"error": {"code": string(e.Code), "message": e.Text}})
+	if err != nil {
+		p.log.WithError(err).Error("encode a fault")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	x.answered = true
+	x.w.WriteHeader(code)
+	_, _ = x.w.Write(b)
+}
+
+// finish counts and logs the end of an exchange.
+func (p *Proxy) finish(x *exchange) {
+	n := x.note
+	took := time.Since(x.arrived)
+	p.metrics.requests.WithLabelValues(x.kind(), n.outcome).Inc()
+	p.metrics.seconds.WithLabelValues(x.kind(), n.outcome).Observe(took.Seconds())
+	if n.first > 0 && x.kind() == string(rules.Streaming) {
+		p.metrics.first.Observe(n.first.Seconds())
+	}
+	f := logrus.Fields{
+		"event": "request", "request": x.call.ID, "kind": x.kind(), "workspace": x.workspaceName(),
+		"outcome": n.outcome, "status": n.status, "took-ms": took.Milliseconds(), "sends": n.sends,
+		"version": n.version, "rules-age-ms": n.age.Milliseconds(),
+	}
+	if x.route != nil {
+		f["route"] = x.route.Name
+	}
+	for k, v := range map[string]string{"cause": n.cause, "instance": n.instance, "prefill": n.prefill} {
+		if v != "" {
+			f[k] = v
+		}
+	}
+	for k, v := range map[string]time.Duration{"waited-ms": n.waited, "read-ms": n.read, "first-ms": n.first} {
+		if v != 0 {
+			f[k] = v.Milliseconds()
+		}
+	}
+	if n.bytes > 0 {
+		f["bytes"] = n.bytes
+	}
+	p.log.WithFields(f).Info("request")
+}
--- /dev/null
+++ b/entry/proxy/hold.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/wire"
+)
+
+// holdMargin is how long after the end of the patience an agent's answer is awaited.
+const holdMargin = 100 * time.Millisecond
+
+// hold asks the agent of an engine for a place. When it is granted, release gives it back.
+func (p *Proxy) hold(ctx context.Context, f *follower, q *wire.HoldRequest) (r *wire.HoldReply, release func(), err error) {
+	defer fault.Annotate(&err, "place of %s", f.member.Name)
+	ctx, cancel := context.WithCancel(ctx)
+	patience := time.AfterFunc(micros(q.PatienceMicros)+holdMargin, cancel)
+	c, free, err := p.links.Get(ctx, f.member.Address)
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	end := func(fit bool) {
+		cancel()
+		free(fit)
+	}
+	s, err := wire.NewDRPCMeshClient(c).Hold(ctx)
+	if err != nil {
+		end(false)
+		return nil, nil, err
+	}
+	if err := s.Send(q); err != nil {
+		end(false)
+		return nil, nil, err
+	}
+	r, err = s.Recv()
+	if err != nil {
+		end(false)
+		return nil, nil, err
+	}
+	patience.Stop()
+	release = func() { p.tasks.Go(func() { end(closed(s)) }) }
+	if !r.Granted {
+		release()
+	}
+	return r, release, nil
+}
+
+// closed ends a stream and reports whether the agent has confirmed it, so that the
+// connection is fit for another use.
+func closed(s wire.DRPCMesh_HoldClient) bool {
+	if err := s.CloseSend(); err != nil {
+		return false
+	}
+	t := time.AfterFunc(time.Second, func() { _ = s.Close() })
+	defer t.Stop()
+	_, err := s.Recv()
+	return err != nil && t.Stop()
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/entry/proxy/proxy.go
@@ -0,0 +1,233 @@
+// Package proxy is the entry that speaks to upstreams itself: it takes callers' requests
+// through keys, limits, the choice of upstreams and the relay of the answer. What the
+// messages look like on the wire is a codec's matter.
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cranberrypoint.example/coord/budget"
+	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/limits"
+	"cranberrypoint.example/coord/link"
+	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/opsrv"
+	"cranberrypoint.example/coord/picker"
+	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/tasks"
+	"cranberrypoint.example/coord/trace"
+	"cranberrypoint.example/coord/upconn"
+	"cranberrypoint.example/coord/wire"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller sends the head of a request.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long an idle connection of a caller is kept.
+	idleTimeout = 60 * time.Second
+	// maxHeader bounds the head of a request in bytes.
+	maxHeader = 64 << 10
+	// traceSize is the number of events in the time line.
+	traceSize = 500
+	// notice is how long after a stop's begin callers may still open connections, until
+	// the balancer has seen that the entry isn't ready.
+	notice = 3 * time.Second
+	// quietPeriod is the time between two looks for the last request during a stop.
+	quietPeriod = 20 * time.Millisecond
+)
+
+// Settings are those of an entry.
+type Settings struct {
+	VM         string
+	DataCentre string
+	// Callers is the address of the callers' HTTP server.
+	Callers string
+	// Ops is the address of readiness and metrics.
+	Ops string
+	// Peers is the address of the drpc server.
+	Peers string
+	// Seeds are addresses of members to begin from.
+	Seeds []string
+	// KeyTerm is how long a configuration that was read proves that a key is granted.
+	KeyTerm time.Duration
+	// Retries bound the extra sends to a service.
+	Retries budget.Terms
+	Store   calls.Store
+	Codec   calls.Codec
+	Log     logrus.FieldLogger
+}
+
+// Proxy is a running entry.
+type Proxy struct {
+	wire.DRPCMeshUnimplementedServer
+
+	settings Settings
+	log      logrus.FieldLogger
+	codec    calls.Codec
+	metrics  *metrics
+	mesh     *mesh.Mesh
+	links    *link.Pool
+	conns    *upconn.Pool
+	http     *http.Server
+	ctx      context.Context
+	tasks    tasks.Group
+	born     time.Time
+
+	view     atomic.Pointer[view]
+	draining atomic.Bool
+	active   atomic.Int64
+
+	mu        sync.Mutex
+	roster    *roster.Roster
+	picker    *picker.Picker
+	limits    *limits.Limits
+	budgets   map[string]*budget.Budget
+	followed  map[string]*follower
+	engines   *engines
+	storeLost bool
+}
+
+// Start runs an entry and returns it with a function that stops it at once.
+func Start(s Settings) (p *Proxy, stop func(), err error) {
+	defer fault.Annotate(&err, "start entry %s", s.VM)
+	listeners, err := listen(s.Callers, s.Ops, s.Peers)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
+	links, closeLinks := link.NewPool(nil, link.WithPing(mesh.Ping))
+	p = &Proxy{
+		settings: s,
+		log:      s.Log,
+		codec:    s.Codec,
+		metrics:  newMetrics(),
+		links:    links,
+		ctx:      ctx,
+		born:     now,
+		roster:   roster.New(),
+		picker:   picker.New(s.DataCentre, uint64(now.UnixNano())),
+		limits:   limits.New(now),
+		budgets:  map[string]*budget.Budget{},
+		followed: map[string]*follower{},
+		engines:  newEngines(),
+	}
+	var closeConns func()
+	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc)
+	self := &wire.Member{
+		Name:        s.VM,
+		Role:        mesh.Entry,
+		DataCentre:  s.DataCentre,
+		Address:     s.Peers,
+		Incarnation: now.UnixMilli(),
+	}
+	var stopMesh func()
+	p.mesh, stopMesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithRefresh(p.refresh), mesh.WithChanged(p.meet))
+	stopOps := opsrv.Serve(listeners[1], p.metrics.registry, trace.NewLog(s.VM, traceSize), p.Status)
+	p.http = &http.Server{
+		Handler:           p,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	p.tasks.Go(func() { _ = p.http.Serve(listeners[0]) })
+	p.tasks.Go(func() { _ = link.ServeMesh(ctx, listeners[2], nil, p) })
+	p.tasks.Go(p.watch)
+	return p, func() {
+		_ = p.http.Close()
+		cancel()
+		stopOps()
+		stopMesh()
+		closeLinks()
+		closeConns()
+		p.tasks.Close()
+	}, nil
+}
+
+func listen(addresses ...string) (l []net.Listener, err error) {
+	defer fault.Annotate(&err, "listen")
+	for _, a := range addresses {
+		s, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, o := range l {
+				_ = o.Close()
+			}
+			return nil, err
+		}
+		l = append(l, s)
+	}
+	return l, nil
+}
+
+// Status tells what the entry is doing.
+func (p *Proxy) Status() opsrv.Status {
+	v := p.view.Load()
+	s := opsrv.Status{
+		VM:          p.settings.VM,
+		Program:     mesh.Entry,
+		DataCentre:  p.settings.DataCentre,
+		Incarnation: uint64(p.born.UnixNano()),
+		Draining:    p.draining.Load(),
+		Active:      int(p.active.Load()),
+	}
+	if v != nil {
+		s.Revision = v.rules.Version()
+		s.Ready = !s.Draining && v.fresh(p.settings.KeyTerm)
+	}
+	return s
+}
+
+// SetSeeds replaces the members to begin from.
+func (p *Proxy) SetSeeds(s []string) { p.mesh.SetSeeds(s) }
+
+// Gossip answers a member.
+func (p *Proxy) Gossip(ctx context.Context, q *wire.GossipRequest) (*wire.GossipReply, error) {
+	return p.mesh.Gossip(ctx, q)
+}
+
+// refresh brings the entry's record up to date.
+func (p *Proxy) refresh(self *wire.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self.Leaving = p.draining.Load()
+	self.Demand = nil
+	for w, r := range p.limits.Offered(time.Now()) {
+		self.Demand = append(self.Demand, &wire.Demand{Workspace: w, Rate: r})
+	}
+}
+
+// meet takes in who is live: agents are followed, and entries share limits.
+func (p *Proxy) meet() {
+	entries := p.mesh.Live(mesh.Entry)
+	v := limits.View{Entries: 1 + p.mesh.Recent(mesh.Entry), Others: map[string]int64{}}
+	for _, m := range entries {
+		for _, d := range m.Demand {
+			v.Others[d.Workspace] += d.Rate
+		}
+	}
+	p.mu.Lock()
+	p.limits.SetView(v)
+	p.mu.Unlock()
+	p.follow(p.mesh.Live(mesh.Agent))
+}
+
+// Drain says that the entry isn't ready, serves what still comes for a notice, finishes
+// it, and returns at the latest when the context ends.
+func (p *Proxy) Drain(ctx context.Context) {
+	p.draining.Store(true)
+	p.log.WithField("event", "draining").WithField("active", p.active.Load()).Info("stop")
+	select {
+	case <-time.After(notice):
+	case <-ctx.Done():
+	}
+	for p.active.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(quietPeriod)
+	}
+}
--- /dev/null
+++ b/entry/proxy/relay.go
@@ -0,0 +1,164 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/hops"
+	"cranberrypoint.example/coord/picker"
+	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/upconn"
+	"github.com/rotisserie/eris"
+)
+
+// relayBuffer is the size in bytes of a part that is passed on at once.
+const relayBuffer = 8 << 10
+
+// errNoProof means that a success lacks what shows that it is the upstream's own.
+var errNoProof = eris.New("the answer can't be the upstream's")
+
+// send sends the request to an upstream and reads the head of the answer. It counts the
+// outcome, unless the answer goes on to be relayed.
+func (p *Proxy) send(x *exchange, u roster.Upstream, s calls.Send, purpose string) (*upconn.Response, calls.Answer, error) {
+	h := x.r.Header.Clone()
+	hops.Strip(h)
+	s.Instance = u.Instance
+	s.Workspace = x.workspaceName()
+	s.Left = x.left()
+	p.codec.Prepare(h, s)
+	x.note.sends++
+	p.mu.Lock()
+	p.picker.Sent(u.Instance)
+	p.mu.Unlock()
+	a, err := p.conns.Do(x.ctx, u.Address, &upconn.Request{
+		Method: x.r.Method,
+		Target: x.r.RequestURI,
+		Host:   x.r.Host,
+		Header: h,
+		Body:   x.body,
+		Framed: x.r.ContentLength >= 0 && x.r.Header.Get("Content-Length") != "" || len(x.r.TransferEncoding) > 0,
+		Mine:   func(status int, h http.Header) bool { return p.codec.Mine(status, h, x.call.ID) },
+	})
+	if err != nil {
+		p.ended(x, u, lost(x), nil, purpose)
+		return nil, calls.Answer{}, err
+	}
+	n := p.codec.Answer(a.Status, a.Header)
+	if a.Status < http.StatusMultipleChoices && !n.Proven && !s.Prefill {
+		_ = a.Body.Close()
+		p.ended(x, u, picker.Lost, nil, purpose)
+		return nil, n, &upconn.Error{Sent: true, Err: errNoProof}
+	}
+	return a, n, nil
+}
+
+// lost tells an upstream's silence from the caller's departure.
+func lost(x *exchange) picker.Result {
+	if x.r.Context().Err() != nil {
+		return picker.Abandoned
+	}
+	return picker.Lost
+}
+
+// ended counts the end of a send.
+func (p *Proxy) ended(x *exchange, u roster.Upstream, r picker.Result, l *calls.Load, purpose string) {
+	p.metrics.sends.WithLabelValues(purpose, resultNames[r]).Inc()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.picker.Ended(time.Now(), u.Instance, r, l)
+}
+
+var resultNames = map[picker.Result]string{
+	picker.Good: "good", picker.Failed: "failed", picker.Refused: "refused", picker.Lost: "lost", picker.Abandoned: "abandoned",
+}
+
+// maybeSent reports whether a failed send may have reached the upstream.
+func maybeSent(err error) bool {
+	var e *upconn.Error
+	return !errors.As(err, &e) || e.Sent
+}
+
+// relay passes an answer on to the caller and reports whether it was whole. An answer
+// that ends early ends the caller's connection, so that it can't look complete.
+func (p *Proxy) relay(x *exchange, a *upconn.Response, flush bool) error {
+	defer func() { _ = a.Body.Close() }()
+	h := x.w.Header()
+	closing := h.Get("Connection")
+	hops.Strip(a.Header)
+	for k, v := range a.Header {
+		h[k] = v
+	}
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	if a.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	x.note.status = a.Status
+	x.answered = true
+	x.w.WriteHeader(a.Status)
+	c := http.NewResponseController(x.w)
+	b := make([]byte, relayBuffer)
+	for {
+		n, err := a.Body.Read(b)
+		if n > 0 {
+			if x.note.first == 0 {
+				x.note.first = time.Since(x.arrived)
+			}
+			x.note.bytes += int64(n)
+			if _, e := x.w.Write(b[:n]); e != nil {
+				return e
+			}
+			if flush {
+				if e := c.Flush(); e != nil {
+					return e
+				}
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// deliver relays an answer, counts its end, and cuts the caller's connection if the
+// answer broke off.
+func (p *Proxy) deliver(x *exchange, u roster.Upstream, a *upconn.Response, n calls.Answer, purpose string, flush bool) {
+	x.note.instance = u.Instance
+	err := p.relay(x, a, flush)
+	if err == nil {
+		x.note.outcome = outcomeAnswered
+		p.ended(x, u, result(a.Status), n.Load, purpose)
+		return
+	}
+	p.ended(x, u, lost(x), n.Load, purpose)
+	x.note.cause = err.Error()
+	if x.r.Context().Err() != nil {
+		x.note.outcome = outcomeLeft
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func result(status int) picker.Result {
+	if status >= http.StatusInternalServerError {
+		return picker.Failed
+	}
+	return picker.Good
+}
+
+// timedOut ends an exchange whose time is over.
+func (p *Proxy) timedOut(x *exchange, err error) {
+	if x.sent {
+		p.fail(x, fault.NotRun(fault.TooLate, "no answer within the time limit: %v", err))
+		return
+	}
+	p.fail(x, notRun(0, "no upstream took the request within its time: %v", err))
+}
--- /dev/null
+++ b/entry/proxy/serve.go
@@ -0,0 +1,238 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"cranberrypoint.example/coord/budget"
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/limits"
+	"cranberrypoint.example/coord/rules"
+	"cranberrypoint.example/coord/wire"
+)
+
+const (
+	// notReadyAgain is when to come back while the entry knows no current configuration.
+	notReadyAgain = 500 * time.Millisecond
+	// defaultTimeout bounds a request whose route and caller name no time.
+	defaultTimeout = 30 * time.Second
+)
+
+// ServeHTTP answers a caller.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.active.Add(1)
+	defer p.active.Add(-1)
+	if p.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{w: w, r: r, arrived: time.Now()}
+	x.note.outcome = outcomeCut
+	defer p.finish(x)
+	if e := p.admit(x); e != nil {
+		p.fail(x, e)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.ctx = ctx
+	if x.route.Kind == rules.Streaming && x.service.Engine != nil {
+		p.stream(x)
+		return
+	}
+	p.plain(x)
+}
+
+// admit checks a request, reads it whole and takes its tokens from the limit.
+func (p *Proxy) admit(x *exchange) *fault.Error {
+	c, err := p.codec.Call(x.r.Header)
+	if err != nil {
+		return fault.NotRun(fault.BadRequest, "%v", err)
+	}
+	x.call = c
+	v := p.view.Load()
+	if v == nil {
+		return p.notReady("no configuration is known yet")
+	}
+	x.note.version, x.note.age = v.rules.Version(), v.age()
+	if !strings.HasPrefix(x.r.RequestURI, "/") {
+		return fault.NotRun(fault.BadRequest, "the request target is not a path")
+	}
+	x.path, _, _ = strings.Cut(x.r.RequestURI, "?")
+	if e := p.resolve(x, v); e != nil {
+		return e
+	}
+	if e := p.readBody(x, v.rules.Limits()); e != nil {
+		return e
+	}
+	x.deadline = x.arrived.Add(x.route.Timeout)
+	if x.route.Timeout <= 0 {
+		x.deadline = x.arrived.Add(defaultTimeout)
+	}
+	if d := x.arrived.Add(c.Left); c.Left > 0 && d.Before(x.deadline) {
+		x.deadline = d
+	}
+	return p.limit(x)
+}
+
+func (p *Proxy) notReady(text string) *fault.Error {
+	return fault.NotRun(fault.NotReady, "%s", text).WithAgain(time.Now().Add(notReadyAgain))
+}
+
+// resolve finds the route, the workspace and the service of a request.
+func (p *Proxy) resolve(x *exchange, v *view) *fault.Error {
+	x.route = v.rules.Route(hostOf(x.r.Host), x.path)
+	if x.route == nil {
+		return fault.NotRun(fault.NoRoute, "no route matches the host and path")
+	}
+	if !x.route.Open && v.rules.Keyed() {
+		if !v.fresh(p.settings.KeyTerm) {
+			return p.notReady("the configuration is too old to prove a key")
+		}
+		x.workspace = v.rules.Workspace(x.call.Key)
+		if x.call.Key == "" || x.workspace == nil {
+			return fault.NotRun(fault.BadKey, "the key is not granted")
+		}
+	} else if x.call.Key != "" && v.fresh(p.settings.KeyTerm) {
+		x.workspace = v.rules.Workspace(x.call.Key)
+	}
+	x.service = v.rules.Service(x.route.Pick(rand.Int()))
+	if x.service == nil {
+		return fault.NotRun(fault.Unreachable, "the route has no service").WithAgain(time.Now().Add(notReadyAgain))
+	}
+	return nil
+}
+
+func hostOf(h string) string {
+	if n, _, err := net.SplitHostPort(h); err == nil {
+		return n
+	}
+	return h
+}
+
+// readBody reads the whole body, so that another upstream can be sent it again and a
+// caller who leaves is noticed.
+func (p *Proxy) readBody(x *exchange, l rules.Limits) *fault.Error {
+	c := http.NewResponseController(x.w)
+	most := l.MaxBodyBytes
+	if most > 0 && x.r.ContentLength > most {
+		return fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", most)
+	}
+	if t := x.route.Timeout; t > 0 {
+		_ = c.SetReadDeadline(x.arrived.Add(t))
+	}
+	r := io.Reader(x.r.Body)
+	if most > 0 {
+		r = http.MaxBytesReader(x.w, x.r.Body, most)
+	}
+	b, err := io.ReadAll(r)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", most)
+	case err != nil:
+		return fault.NotRun(fault.BadRequest, "the body can't be read: %v", err)
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	x.body = b
+	return nil
+}
+
+// limit takes the request's tokens from its workspace's limit.
+func (p *Proxy) limit(x *exchange) *fault.Error {
+	w := x.workspace
+	if w == nil || w.Rate <= 0 {
+		return nil
+	}
+	n := max(1, w.PlainTokens)
+	switch {
+	case w.ByRequest:
+		n = 1
+	case x.call.Sized:
+		n = x.call.Prompt + x.call.Most
+	}
+	p.mu.Lock()
+	ok, wait := p.limits.Admit(time.Now(), w.Name, limits.Terms{Rate: w.Rate, Burst: w.Burst}, n)
+	p.mu.Unlock()
+	if !ok {
+		return fault.NotRun(fault.OverLimit, "the workspace is over its limit").WithAgain(time.Now().Add(wait))
+	}
+	x.tokens = n
+	return nil
+}
+
+// refund gives the tokens of a request back that didn't run.
+func (p *Proxy) refund(x *exchange) {
+	if x.tokens == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.Refund(x.workspace.Name, x.tokens)
+	x.tokens = 0
+}
+
+// allowed checks just before a send that the configuration in force still lets the
+// request run at the service.
+func (p *Proxy) allowed(x *exchange) *fault.Error {
+	v := p.view.Load()
+	x.note.version, x.note.age = v.rules.Version(), v.age()
+	t := v.rules.Route(hostOf(x.r.Host), x.path)
+	if t == nil {
+		return fault.NotRun(fault.NoRoute, "no route matches the host and path")
+	}
+	if x.workspace != nil {
+		if !v.fresh(p.settings.KeyTerm) {
+			return p.notReady("the configuration is too old to prove a key")
+		}
+		if w := v.rules.Workspace(x.call.Key); w == nil || w.Name != x.workspace.Name {
+			return fault.NotRun(fault.BadKey, "the key is not granted")
+		}
+	}
+	for _, s := range t.Shares {
+		if s.Service == x.service.Name {
+			return nil
+		}
+	}
+	return p.notReady("the route has moved to another service")
+}
+
+// budget returns the budget of a service. The lock is held.
+func (p *Proxy) budget(service string) *budget.Budget {
+	b := p.budgets[service]
+	if b == nil {
+		b = budget.New(p.settings.Retries)
+		p.budgets[service] = b
+	}
+	return b
+}
+
+// requested counts a request for the retry budget of its service.
+func (p *Proxy) requested(x *exchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget(x.service.Name).Requested(time.Now())
+}
+
+// mayRetry reports whether the retry budget allows another send, and counts it.
+func (p *Proxy) mayRetry(x *exchange) bool {
+	entries := 1 + p.mesh.Recent("entry")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget(x.service.Name).Draw(time.Now(), entries)
+}
+
+// notRun returns the fault of a request that no upstream ran.
+func notRun(again time.Duration, format string, args ...any) *fault.Error {
+	return fault.NotRun(fault.Overloaded, format, args...).WithAgain(time.Now().Add(again))
+}
+
+// unclear returns the fault of a request that an upstream may have run.
+func unclear(err error) *fault.Error {
+	return fault.NotRun(fault.Unclear, "%v", err).WithRan(wire.Ran_RAN_UNKNOWN)
+}
--- /dev/null
+++ b/entry/proxy/stream.go
@@ -0,0 +1,317 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/picker"
+	"cranberrypoint.example/coord/upconn"
+	"cranberrypoint.example/coord/wire"
+)
+
+const (
+	// timelyMargin is kept from the target for what comes between the place and the first
+	// event: sends, the fetch of the KV cache and the first step.
+	timelyMargin = 60 * time.Millisecond
+	// leastPatience is the shortest time after which callers give a silent stream up.
+	leastPatience = 2 * time.Second
+	// targetsPatient and pausesPatient are the targets and pauses after which they do, if
+	// those are longer.
+	targetsPatient = 4
+	pausesPatient  = 8
+	// patienceMargin is taken off that time, since the caller counts from its own send.
+	patienceMargin = 400 * time.Millisecond
+	// placeTries is the number of engines that are asked for a place.
+	placeTries = 2
+	// fullStreamAgain is when to come back if nothing tells when a place is likely.
+	fullStreamAgain = time.Second
+	// leastAgain is the shortest wait that a refused caller is told.
+	leastAgain = 300 * time.Millisecond
+	// maxHandle bounds the answer to a prefill in bytes.
+	maxHandle = 64 << 10
+)
+
+// ticket is a granted place.
+type ticket struct {
+	spot    spot
+	release func()
+}
+
+// stream answers a request at a model engine: the place for the answer first, then the
+// prompt is read by another engine, then the answer.
+func (p *Proxy) stream(x *exchange) {
+	p.requested(x)
+	tried := map[string]bool{}
+	for {
+		if e := p.allowed(x); e != nil {
+			p.fail(x, e)
+			return
+		}
+		t, e := p.place(x, tried)
+		if e != nil {
+			p.fail(x, e)
+			return
+		}
+		tried[t.spot.up.Instance] = true
+		done := p.runAt(x, t)
+		if done {
+			return
+		}
+	}
+}
+
+// runAt runs a stream at the engine of a place. It reports false if the request didn't run
+// and may be tried at another engine.
+func (p *Proxy) runAt(x *exchange, t ticket) (done bool) {
+	defer t.release()
+	source, free := p.prefill(x, t)
+	if x.ctx.Err() != nil {
+		free()
+		p.timedOut(x, x.ctx.Err())
+		return true
+	}
+	if e := p.allowed(x); e != nil {
+		free()
+		p.fail(x, e)
+		return true
+	}
+	a, n, err := p.send(x, t.spot.up, calls.Send{Source: source}, "decode")
+	if err == nil && n.NotRun && source != "" && p.mayRetry(x) {
+		// The KV cache is gone: the engine that has the place reads the prompt itself.
+		_ = a.Body.Close()
+		p.ended(x, t.spot.up, picker.Refused, n.Load, "decode")
+		a, n, err = p.send(x, t.spot.up, calls.Send{}, "decode")
+	}
+	if err != nil {
+		return p.lostRun(x, err, free)
+	}
+	if n.NotRun || n.OtherInstance {
+		_ = a.Body.Close()
+		p.ended(x, t.spot.up, picker.Refused, n.Load, "decode")
+		if !p.mayRetry(x) {
+			p.fail(x, notRun(fullStreamAgain, "the engine refused the run"))
+			return true
+		}
+		return false
+	}
+	x.sent = true
+	p.deliver(x, t.spot.up, a, n, "decode", true)
+	return true
+}
+
+// lostRun deals with a send without an answer.
+func (p *Proxy) lostRun(x *exchange, err error, free func()) (done bool) {
+	if maybeSent(err) {
+		x.sent = true
+	} else {
+		free()
+	}
+	if p.over(x, err) {
+		return true
+	}
+	if !maybeSent(err) || p.again(x, x.note.sends) {
+		return false
+	}
+	p.fail(x, unclear(err))
+	return true
+}
+
+// times returns until when a place lets the answer begin in time, and until when it is of
+// use at all.
+func (p *Proxy) times(x *exchange, read time.Duration) (timely, patience time.Time) {
+	p.mu.Lock()
+	before := p.engines.waited(x.route.Name, x.call.Left)
+	p.mu.Unlock()
+	timely = x.arrived.Add(x.route.Target - before - read - timelyMargin)
+	g := max(leastPatience, targetsPatient*x.route.Target, pausesPatient*x.route.Pause)
+	patience = x.arrived.Add(g - read - patienceMargin)
+	if d := x.deadline.Add(-read - patienceMargin); d.Before(patience) {
+		patience = d
+	}
+	return timely, patience
+}
+
+// place gets a place for the answer, or says why there is none.
+func (p *Proxy) place(x *exchange, tried map[string]bool) (ticket, *fault.Error) {
+	again := fullStreamAgain
+	asked := map[string]bool{}
+	for n := range tried {
+		asked[n] = true
+	}
+	for i := range placeTries {
+		s, free, ok := p.decodeSpot(x, asked)
+		if !ok || i > 0 && !free {
+			break
+		}
+		asked[s.up.Instance] = true
+		t, r, err := p.askPlace(x, s)
+		switch {
+		case x.ctx.Err() != nil:
+			return ticket{}, fault.NotRun(fault.Cancelled, "the caller left or its time is over")
+		case err != nil:
+			p.log.WithField("event", "place-failed").WithField("request", x.call.ID).WithError(err).Warn("place")
+		case r.Granted:
+			x.note.waited = time.Since(x.arrived)
+			return t, nil
+		default:
+			x.note.cause = r.Reason
+			again = micros(r.AgainMicros)
+		}
+	}
+	x.note.waited = time.Since(x.arrived)
+	return ticket{}, notRun(max(again, leastAgain), "no engine has a place in time: %s", x.note.cause)
+}
+
+// askPlace asks for a place at one engine.
+func (p *Proxy) askPlace(x *exchange, s spot) (t ticket, r *wire.HoldReply, err error) {
+	if s.follower == nil {
+		return p.placeAlone(x, s)
+	}
+	_, backlog, _ := p.prefillSpot(x, nil)
+	p.mu.Lock()
+	read := p.engines.readTime(backlog + x.call.Prompt)
+	s.follower.asked++
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		s.follower.asked--
+		p.mu.Unlock()
+	}()
+	timely, patience := p.times(x, read)
+	q := &wire.HoldRequest{
+		Request:        x.call.ID,
+		Prompt:         x.call.Prompt,
+		Most:           x.call.Most,
+		Priority:       int32(p.priority(x)),
+		TimelyMicros:   max(0, time.Until(timely)).Microseconds(),
+		PatienceMicros: max(0, time.Until(patience)).Microseconds(),
+		Slots:          int32(x.service.Engine.Slots),
+		Instance:       s.up.Instance,
+	}
+	r, release, err := p.hold(x.ctx, s.follower, q)
+	return ticket{s, release}, r, err
+}
+
+func (p *Proxy) priority(x *exchange) int {
+	if x.workspace != nil && x.workspace.Priority != nil {
+		return *x.workspace.Priority
+	}
+	return x.route.Priority
+}
+
+// placeAlone takes a place at an engine whose agent isn't heard, out of this entry's
+// part of the engine's memory.
+func (p *Proxy) placeAlone(x *exchange, s spot) (ticket, *wire.HoldReply, error) {
+	n := x.call.Prompt + x.call.Most
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.aloneRoom(x.service.Engine, s.up) < n {
+		r := &wire.HoldReply{Reason: "the agent is silent and this entry's part is taken", AgainMicros: fullStreamAgain.Microseconds()}
+		return ticket{}, r, nil
+	}
+	p.engines.alone[s.up.Instance] += n
+	release := func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.engines.alone[s.up.Instance] -= n
+	}
+	return ticket{s, release}, &wire.HoldReply{Granted: true}, nil
+}
+
+// prefill has the prompt read by an engine of its own. It returns where the KV cache is,
+// or nothing if the engine of the answer should read the prompt itself; free gives an
+// unused KV cache back.
+func (p *Proxy) prefill(x *exchange, t ticket) (source string, free func()) {
+	free = func() {}
+	s, backlog, ok := p.prefillSpot(x, map[string]bool{t.spot.up.Instance: true})
+	if !ok {
+		return "", free
+	}
+	x.note.prefill = s.up.Instance
+	release := p.holdPrefill(x, s)
+	defer release()
+	began := time.Now()
+	a, n, err := p.send(x, s.up, calls.Send{Prefill: true}, "prefill")
+	if err != nil {
+		x.note.cause = "prefill: " + err.Error()
+		return "", free
+	}
+	h, ok := p.readHandle(x, s, a, n)
+	if !ok {
+		return "", free
+	}
+	x.note.read = time.Since(began)
+	p.mu.Lock()
+	p.engines.learnRead(backlog+x.call.Prompt, x.note.read)
+	p.mu.Unlock()
+	free = func() { p.tasks.Go(func() { p.free(s, h) }) }
+	return p.codec.Source(s.up.Address, h), free
+}
+
+// readHandle reads the answer to a prefill.
+func (p *Proxy) readHandle(x *exchange, s spot, a *upconn.Response, n calls.Answer) (h calls.Handle, ok bool) {
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxHandle))
+	_ = a.Body.Close()
+	if err == nil && a.Status == http.StatusOK {
+		h, err = p.codec.Handle(b)
+	}
+	switch {
+	case err != nil:
+		x.note.cause = "prefill: " + err.Error()
+		p.ended(x, s.up, lost(x), n.Load, "prefill")
+	case n.NotRun || n.OtherInstance:
+		p.ended(x, s.up, picker.Refused, n.Load, "prefill")
+	case a.Status != http.StatusOK:
+		p.ended(x, s.up, picker.Failed, n.Load, "prefill")
+	default:
+		p.ended(x, s.up, picker.Good, n.Load, "prefill")
+		return h, true
+	}
+	return h, false
+}
+
+// holdPrefill counts a prompt at the engine that reads it, here and at its agent.
+func (p *Proxy) holdPrefill(x *exchange, s spot) (release func()) {
+	n := x.call.Prompt
+	if s.follower == nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.engines.alone[s.up.Instance] += n
+		return func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.engines.alone[s.up.Instance] -= n
+		}
+	}
+	p.mu.Lock()
+	s.follower.reading += n
+	p.mu.Unlock()
+	q := &wire.HoldRequest{Request: x.call.ID, Prompt: n, Prefill: true, PatienceMicros: x.left().Microseconds()}
+	_, end, err := p.hold(x.ctx, s.follower, q)
+	if err != nil {
+		// The agent doesn't know of the prompt; the engine's own queue bounds what follows.
+		p.log.WithField("event", "backlog-untold").WithField("request", x.call.ID).WithError(err).Debug("place")
+		end = func() {}
+	}
+	return func() {
+		end()
+		p.mu.Lock()
+		s.follower.reading -= n
+		p.mu.Unlock()
+	}
+}
+
+// free gives back a KV cache that nobody will fetch.
+func (p *Proxy) free(s spot, h calls.Handle) {
+	method, path := p.codec.Free(h)
+	a, err := p.conns.Do(p.ctx, s.up.Address, &upconn.Request{Method: method, Target: path, Host: s.up.Address, Header: http.Header{}})
+	if err != nil {
+		p.log.WithField("event", "free-failed").WithField("instance", s.up.Instance).WithError(err).Warn("engine")
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxHandle))
+	_ = a.Body.Close()
+}
