limits: one bucket for each workspace at an owning entry

Cause: shares of a limit refuse what is within it. A stream is 12,000 tokens, a tenth of a workspace's burst, and a share of a fifth holds two of them. Ruled out: exhausted places (no request waited for one at that time). Change: a bucket for each workspace at the live entry that ranks first; small requests take tokens in advance; an entry without an owner uses half of an equal share.

--- a/coord/limits/limits.go
+++ b/coord/limits/limits.go
@@ -1,139 +1,146 @@
-// Package limits is the reducer that keeps a workspace's rate and burst over all entries
-// by a local bucket with a share that follows the demand.
+// Package limits is the reducer that keeps a workspace's rate and burst over all entries.
 //
-// It answers one workspace that sends many times its rate through few or many entries,
-// while entries die, are cut off or start anew. Each entry tells the others what its
-// callers offer; its share of a limit is its part of that demand, but never below a part
-// that is equal for all, so that a first request needs no one's word. An entry that
-// can't hear others falls back to the equal share. Nothing has to be remembered: a new
-// entry starts with an empty bucket and an equal share.
+// Requests are large against a workspace's burst: one stream can be a tenth of it. Shares
+// of a limit would refuse streams that are within it, so each workspace has one bucket,
+// at the live entry that ranks first for it, and the others ask there. Nothing has to be
+// remembered: when the owner changes, the new bucket starts with a part of the burst. An
+// entry that reaches no owner uses a bucket of its own with a part of an equal share.
+//
+// It answers one workspace that sends many times its rate, while entries die, are cut off
+// or start anew. What two owners grant at once while lists of entries differ is paid for
+// out of what operators tolerate beyond the limit.
 package limits
 
 import (
-	"math"
+	"cmp"
+	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// even is the part of a limit that is divided equally, whatever the demand.
-	even = 0.3
-	// over is what the entries grant together beyond the rate. The operators tolerate more;
-	// the difference pays for shares that lag behind the demand.
+	// over is what is granted of a rate and burst; operators tolerate more than this.
 	over = 1.1
-	// window is the time over which demand is averaged.
-	window = 2 * time.Second
-	// unknownEntries is the number of entries that a new entry counts with until it has
-	// been told how many there are.
-	unknownEntries = 8
-	// settle is how long after its start an entry counts with unknownEntries.
-	settle = 3 * time.Second
+	// first is the part of the burst that a new bucket holds.
+	first = 0.25
+	// aloneShare is the part of an equal share that an entry grants without an owner.
+	aloneShare = 0.5
+	// slackShare is the part of the tolerated overdraft that one bucket uses.
+	slackShare = 0.5
+	// advanceTerm is how long an entry keeps tokens that it took in advance.
+	advanceTerm = time.Second
 )
 
 // Terms are a workspace's limit over all entries.
 type Terms struct {
 	// Rate is in tokens a second; 0 is no limit.
-	Rate int64
+	Rate float64
 	// Burst is in tokens.
-	Burst int64
+	Burst float64
+	// Slack is the overdraft in tokens that operators tolerate besides.
+	Slack float64
+	// Version is that of the configuration that the terms stand in.
+	Version uint64
 }
 
-// View is what an entry knows of the others.
-type View struct {
-	// Entries is the number of entries known lately, with this one.
-	Entries int
-	// Others is the demand that live others tell, by workspace, in tokens a second.
-	Others map[string]int64
+// WithShare returns the terms of one of some entries that grants without an owner.
+func (t Terms) WithShare(entries int) Terms {
+	f := aloneShare / float64(max(1, entries))
+	t.Rate *= f
+	t.Burst *= f
+	t.Slack *= f
+	return t
 }
 
 type bucket struct {
+	terms   Terms
 	level   float64
 	updated time.Time
-	// offered is the averaged demand in tokens a second.
-	offered float64
 }
 
 // Limits is the reducer. Use New.
 type Limits struct {
-	started time.Time
-	view    View
 	buckets map[string]*bucket
 }
 
-// New returns the limits of an entry that starts.
-func New(now time.Time) *Limits {
-	return &Limits{started: now, view: View{Entries: 1}, buckets: map[string]*bucket{}}
-}
-
-// SetView takes in what is known of other entries.
-func (l *Limits) SetView(v View) { l.view = v }
+// New returns limits from which nothing was taken.
+func New() *Limits { return &Limits{buckets: map[string]*bucket{}} }
 
-// entries returns the number of entries to divide by.
-func (l *Limits) entries(now time.Time) float64 {
-	n := max(1, l.view.Entries)
-	if now.Sub(l.started) < settle {
-		n = max(n, unknownEntries)
+// Take takes tokens from a workspace's bucket. A bucket may be overdrawn by one request,
+// so that large ones aren't passed by small ones for ever. Otherwise wait is the time
+// until the request may be granted.
+func (l *Limits) Take(now time.Time, workspace string, t Terms, tokens int64) (ok bool, wait time.Duration) {
+	b := l.bucket(now, workspace, t)
+	if b.terms.Rate <= 0 {
+		return true, 0
 	}
-	return float64(n)
-}
-
-// share returns this entry's part of a workspace's limit.
-func (l *Limits) share(now time.Time, workspace string, b *bucket) float64 {
-	n := l.entries(now)
-	others := float64(l.view.Others[workspace])
-	if b.offered+others <= 0 || now.Sub(l.started) < settle {
-		return 1 / n
+	need := float64(tokens) - slackShare*b.terms.Slack
+	need = min(max(need, 1), over*b.terms.Burst)
+	if b.level < need {
+		return false, time.Duration((need - b.level) / (over * b.terms.Rate) * float64(time.Second))
 	}
-	return even/n + (1-even)*b.offered/(b.offered+others)
+	b.level -= float64(tokens)
+	return true, 0
 }
 
-// Admit reports whether a request of some tokens is within the limit, and takes them if
-// so. The bucket may be overdrawn by one request: a request that is larger than a share
-// of the burst must pass too. Otherwise wait is the time until one may be admitted.
-func (l *Limits) Admit(now time.Time, workspace string, t Terms, tokens int64) (ok bool, wait time.Duration) {
-	if t.Rate <= 0 {
-		return true, 0
+// bucket returns a workspace's bucket filled up to now, under the newest terms.
+func (l *Limits) bucket(now time.Time, workspace string, t Terms) *bucket {
+	b := l.buckets[workspace]
+	if b == nil {
+		b = &bucket{terms: t, level: first * t.Burst, updated: now}
+		l.buckets[workspace] = b
 	}
-	b := l.bucket(now, workspace)
-	s := l.share(now, workspace, b)
-	rate := over * s * float64(t.Rate)
-	burst := s * float64(t.Burst)
-	passed := now.Sub(b.updated)
-	b.updated = now
-	b.level = min(burst, b.level+rate*passed.Seconds())
-	b.offered = b.offered*decay(passed) + float64(tokens)/window.Seconds()
-	if b.level <= 0 {
-		return false, time.Duration(-b.level / rate * float64(time.Second))
+	if t.Version >= b.terms.Version {
+		b.terms = t
 	}
-	b.level -= float64(tokens)
-	return true, 0
+	passed := max(0, now.Sub(b.updated))
+	b.updated = now
+	b.level = min(over*b.terms.Burst, b.level+over*b.terms.Rate*passed.Seconds())
+	return b
 }
 
-// Refund gives back the tokens of a request that didn't run.
-func (l *Limits) Refund(workspace string, tokens int64) {
+// Return gives back tokens of a request that didn't run.
+func (l *Limits) Return(workspace string, tokens int64) {
 	if b := l.buckets[workspace]; b != nil {
 		b.level += float64(tokens)
 	}
 }
 
-func (l *Limits) bucket(now time.Time, workspace string) *bucket {
-	b := l.buckets[workspace]
-	if b == nil {
-		// The time since the start fills a new bucket, so that it isn't full at once.
-		b = &bucket{updated: l.started}
-		l.buckets[workspace] = b
-	}
-	return b
+// Owners returns entries in the order in which they rank for a workspace.
+func Owners(workspace string, entries []string) []string {
+	score := func(e string) uint64 { return xxhash.Sum64String(workspace + "\x00" + e) }
+	return slices.SortedFunc(slices.Values(entries), func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a, b))
+	})
+}
+
+type advance struct {
+	tokens int64
+	until  time.Time
 }
 
-func decay(d time.Duration) float64 { return math.Exp(-d.Seconds() / window.Seconds()) }
+// Advances are tokens that an entry took from owners for small requests to come, so
+// that not each of them asks. The zero value holds none.
+type Advances struct {
+	held map[string]advance
+}
+
+// Use takes tokens from what is held for a workspace, if there are enough.
+func (a *Advances) Use(now time.Time, workspace string, tokens int64) bool {
+	h, ok := a.held[workspace]
+	if !ok || now.After(h.until) || h.tokens < tokens {
+		return false
+	}
+	h.tokens -= tokens
+	a.held[workspace] = h
+	return true
+}
 
-// Offered returns the demand of this entry's callers by workspace, in tokens a second.
-func (l *Limits) Offered(now time.Time) map[string]int64 {
-	r := map[string]int64{}
-	for n, b := range l.buckets {
-		if v := int64(b.offered * decay(now.Sub(b.updated))); v > 0 {
-			r[n] = v
-		}
+// Add holds tokens for a workspace in place of what was held.
+func (a *Advances) Add(now time.Time, workspace string, tokens int64) {
+	if a.held == nil {
+		a.held = map[string]advance{}
 	}
-	return r
+	a.held[workspace] = advance{tokens, now.Add(advanceTerm)}
 }
--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -229,6 +229,11 @@
 	return wire.NewDRPCMeshClient(c).Gossip(ctx, m)
 }
 
+// Take calls an entry's Take.
+func Take(c drpc.Conn, ctx context.Context, m *wire.TakeRequest) (*wire.TakeReply, error) {
+	return wire.NewDRPCMeshClient(c).Take(ctx, m)
+}
+
 // Serve serves the peer protocol, and the agent's where agent is not nil, until the
 // context ends.
 func Serve(ctx context.Context, l net.Listener, c *tls.Config, peer wire.DRPCPeerServer, agent wire.DRPCAgentServer) (err error) {
--- /dev/null
+++ b/entry/proxy/limit.go
@@ -0,0 +1,181 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/limits"
+	"cranberrypoint.example/coord/link"
+	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/rules"
+	"cranberrypoint.example/coord/wire"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// takeTimeout bounds the answer of a workspace's owner.
+	takeTimeout = 150 * time.Millisecond
+	// owners is the number of owners that are asked before an entry decides alone.
+	owners = 2
+	// unreachedTerm is how long an owner that didn't answer isn't asked.
+	unreachedTerm = time.Second
+	// smallRequest is the size in tokens up to which tokens are taken in advance.
+	smallRequest = 500
+	// advanceSize is how many tokens are taken for small requests at once, as a part of a
+	// second's rate, and at most how many requests of the size.
+	advanceShare = 0.01
+	advanceMost  = 10
+)
+
+// limit takes the request's tokens from its workspace's limit.
+func (p *Proxy) limit(x *exchange) *fault.Error {
+	w := x.workspace
+	if w == nil || w.Rate <= 0 {
+		return nil
+	}
+	n := max(1, w.PlainTokens)
+	switch {
+	case w.ByRequest:
+		n = 1
+	case x.call.Sized:
+		n = x.call.Prompt + x.call.Most
+	}
+	if ok, wait := p.take(x, n); !ok {
+		return fault.NotRun(fault.OverLimit, "the workspace is over its limit").WithAgain(time.Now().Add(wait))
+	}
+	x.tokens = n
+	return nil
+}
+
+// take takes tokens in advance for small requests, and otherwise those of the request.
+func (p *Proxy) take(x *exchange, n int64) (ok bool, wait time.Duration) {
+	w := x.workspace
+	if n > smallRequest {
+		return p.takeFrom(x, n)
+	}
+	p.mu.Lock()
+	ok = p.advances.Use(time.Now(), w.Name, n)
+	p.mu.Unlock()
+	if ok {
+		return true, 0
+	}
+	more := min(advanceMost*n, int64(advanceShare*float64(w.Rate)))
+	if more > n {
+		if ok, _ := p.takeFrom(x, more); ok {
+			p.mu.Lock()
+			p.advances.Add(time.Now(), w.Name, more-n)
+			p.mu.Unlock()
+			return true, 0
+		}
+	}
+	return p.takeFrom(x, n)
+}
+
+// takeFrom asks the workspace's owners in turn, and decides alone if none answers.
+func (p *Proxy) takeFrom(x *exchange, n int64) (ok bool, wait time.Duration) {
+	q := takeRequest(x.workspace, n, x.note.version)
+	for _, o := range p.owners(x.workspace.Name) {
+		if o == p.settings.VM {
+			return p.grant(p.limits, q, p.terms(q))
+		}
+		r, err := p.ask(x.r.Context(), o, q)
+		if err == nil {
+			return r.Granted, micros(r.WaitMicros)
+		}
+		if x.r.Context().Err() != nil {
+			return false, 0
+		}
+		p.log.WithFields(logrus.Fields{"event": "owner-silent", "request": x.call.ID, "owner": o}).WithError(err).Warn("limit")
+	}
+	return p.grant(p.alone, q, p.terms(q).WithShare(1+p.mesh.Recent(mesh.Entry)))
+}
+
+func takeRequest(w *rules.Workspace, n int64, version uint64) *wire.TakeRequest {
+	return &wire.TakeRequest{Workspace: w.Name, Tokens: n, Rate: w.Rate, Burst: w.Burst, Version: version}
+}
+
+func (p *Proxy) terms(q *wire.TakeRequest) limits.Terms {
+	return limits.Terms{
+		Rate:    float64(q.Rate),
+		Burst:   float64(q.Burst),
+		Slack:   float64(p.settings.LimitSlack),
+		Version: q.Version,
+	}
+}
+
+func (p *Proxy) grant(l *limits.Limits, q *wire.TakeRequest, t limits.Terms) (ok bool, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return l.Take(time.Now(), q.Workspace, t, q.Tokens)
+}
+
+// owners returns the entries to ask for a workspace's tokens, the first in rank first.
+func (p *Proxy) owners(workspace string) []string {
+	names := []string{p.settings.VM}
+	now := time.Now()
+	live := p.mesh.Live(mesh.Entry)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range live {
+		if now.After(p.unreached[m.Name]) {
+			names = append(names, m.Name)
+		}
+	}
+	l := limits.Owners(workspace, names)
+	return l[:min(owners, len(l))]
+}
+
+// ask takes tokens at another entry.
+func (p *Proxy) ask(ctx context.Context, owner string, q *wire.TakeRequest) (r *wire.TakeReply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	address := ""
+	for _, m := range p.mesh.Live(mesh.Entry) {
+		if m.Name == owner {
+			address = m.Address
+		}
+	}
+	r, err = link.Call(ctx, p.links, address, link.Take, q)
+	if err != nil {
+		p.mu.Lock()
+		p.unreached[owner] = time.Now().Add(unreachedTerm)
+		p.mu.Unlock()
+	}
+	return r, err
+}
+
+// Take serves other entries the buckets that this one owns.
+func (p *Proxy) Take(_ context.Context, q *wire.TakeRequest) (*wire.TakeReply, error) {
+	if q.Tokens < 0 {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.limits.Return(q.Workspace, -q.Tokens)
+		return &wire.TakeReply{Granted: true}, nil
+	}
+	ok, wait := p.grant(p.limits, q, p.terms(q))
+	return &wire.TakeReply{Granted: ok, WaitMicros: wait.Microseconds()}, nil
+}
+
+// refund gives the tokens of a request back that didn't run. Those that don't arrive are
+// lost to the workspace.
+func (p *Proxy) refund(x *exchange) {
+	n := x.tokens
+	if n == 0 {
+		return
+	}
+	x.tokens = 0
+	q := takeRequest(x.workspace, -n, x.note.version)
+	o := p.owners(x.workspace.Name)[0]
+	if o == p.settings.VM {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.limits.Return(q.Workspace, n)
+		return
+	}
+	p.tasks.Go(func() {
+		if _, err := p.ask(p.ctx, o, q); err != nil {
+			p.log.WithFields(logrus.Fields{"event": "refund-lost", "request": x.call.ID, "tokens": n}).WithError(err).Debug("limit")
+		}
+	})
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -59,9 +59,11 @@
 	KeyTerm time.Duration
 	// Retries bound the extra sends to a service.
 	Retries budget.Terms
-	Store   calls.Store
-	Codec   calls.Codec
-	Log     logrus.FieldLogger
+	// LimitSlack is the overdraft in tokens that operators tolerate.
+	LimitSlack int64
+	Store      calls.Store
+	Codec      calls.Codec
+	Log        logrus.FieldLogger
 }
 
 // Proxy is a running entry.
@@ -84,10 +86,15 @@
 	draining atomic.Bool
 	active   atomic.Int64
 
-	mu        sync.Mutex
-	roster    *roster.Roster
-	picker    *picker.Picker
-	limits    *limits.Limits
+	mu     sync.Mutex
+	roster *roster.Roster
+	picker *picker.Picker
+	// limits are the buckets that this entry owns; alone are those of its own.
+	limits   *limits.Limits
+	alone    *limits.Limits
+	advances limits.Advances
+	// unreached are the owners that don't answer, until when they aren't asked.
+	unreached map[string]time.Time
 	budgets   map[string]*budget.Budget
 	followed  map[string]*follower
 	engines   *engines
@@ -105,19 +112,21 @@
 	now := time.Now()
 	links, closeLinks := link.NewPool(nil, link.WithPing(mesh.Ping))
 	p = &Proxy{
-		settings: s,
-		log:      s.Log,
-		codec:    s.Codec,
-		metrics:  newMetrics(),
-		links:    links,
-		ctx:      ctx,
-		born:     now,
-		roster:   roster.New(),
-		picker:   picker.New(s.DataCentre, uint64(now.UnixNano())),
-		limits:   limits.New(now),
-		budgets:  map[string]*budget.Budget{},
-		followed: map[string]*follower{},
-		engines:  newEngines(),
+		settings:  s,
+		log:       s.Log,
+		codec:     s.Codec,
+		metrics:   newMetrics(),
+		links:     links,
+		ctx:       ctx,
+		born:      now,
+		roster:    roster.New(),
+		picker:    picker.New(s.DataCentre, uint64(now.UnixNano())),
+		limits:    limits.New(),
+		alone:     limits.New(),
+		unreached: map[string]time.Time{},
+		budgets:   map[string]*budget.Budget{},
+		followed:  map[string]*follower{},
+		engines:   newEngines(),
 	}
 	var closeConns func()
 	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc)
@@ -197,26 +206,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	self.Leaving = p.draining.Load()
-	self.Demand = nil
-	for w, r := range p.limits.Offered(time.Now()) {
-		self.Demand = append(self.Demand, &wire.Demand{Workspace: w, Rate: r})
-	}
 }
 
-// meet takes in who is live: agents are followed, and entries share limits.
-func (p *Proxy) meet() {
-	entries := p.mesh.Live(mesh.Entry)
-	v := limits.View{Entries: 1 + p.mesh.Recent(mesh.Entry), Others: map[string]int64{}}
-	for _, m := range entries {
-		for _, d := range m.Demand {
-			v.Others[d.Workspace] += d.Rate
-		}
-	}
-	p.mu.Lock()
-	p.limits.SetView(v)
-	p.mu.Unlock()
-	p.follow(p.mesh.Live(mesh.Agent))
-}
+// meet takes in who is live.
+func (p *Proxy) meet() { p.follow(p.mesh.Live(mesh.Agent)) }
 
 // Drain says that the entry isn't ready, serves what still comes for a notice, finishes
 // it, and returns at the latest when the context ends.
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -12,7 +12,6 @@
 
 	"cranberrypoint.example/coord/budget"
 	"cranberrypoint.example/coord/fault"
-	"cranberrypoint.example/coord/limits"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
 )
@@ -143,40 +142,6 @@
 	return nil
 }
 
-// limit takes the request's tokens from its workspace's limit.
-func (p *Proxy) limit(x *exchange) *fault.Error {
-	w := x.workspace
-	if w == nil || w.Rate <= 0 {
-		return nil
-	}
-	n := max(1, w.PlainTokens)
-	switch {
-	case w.ByRequest:
-		n = 1
-	case x.call.Sized:
-		n = x.call.Prompt + x.call.Most
-	}
-	p.mu.Lock()
-	ok, wait := p.limits.Admit(time.Now(), w.Name, limits.Terms{Rate: w.Rate, Burst: w.Burst}, n)
-	p.mu.Unlock()
-	if !ok {
-		return fault.NotRun(fault.OverLimit, "the workspace is over its limit").WithAgain(time.Now().Add(wait))
-	}
-	x.tokens = n
-	return nil
-}
-
-// refund gives the tokens of a request back that didn't run.
-func (p *Proxy) refund(x *exchange) {
-	if x.tokens == 0 {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.limits.Refund(x.workspace.Name, x.tokens)
-	x.tokens = 0
-}
-
 // allowed checks just before a send that the configuration in force still lets the
 // request run at the service.
 func (p *Proxy) allowed(x *exchange) *fault.Error {
