entry: extra sends are counted, late streams refused in a stop, one instance an address

Ruled out: (a) a wrong stage (the agents' states were right); (b) the balancer (the connection was an idle one). Change: of several instances at an address the newest alone is used; an instance whose address answers for another is left out; each send after the first draws on the budget; a stopping entry refuses streams that would outlast it and closes idle connections once the balancer knows.

--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -60,6 +60,12 @@
 	return true
 }
 
+// Charge counts an extra send that was found to be one only after it was made.
+func (b *Budget) Charge(now time.Time) {
+	b.advance(now)
+	b.steps[0].extra++
+}
+
 // advance shifts the steps to the present one. An extra step is kept, so that the sum of
 // extra sends covers the whole window.
 func (b *Budget) advance(now time.Time) {
--- a/coord/picker/picker.go
+++ b/coord/picker/picker.go
@@ -22,6 +22,8 @@
 	firstBan = 500 * time.Millisecond
 	// maxBan bounds how long an upstream is left out.
 	maxBan = 4 * time.Second
+	// goneBan is how long an upstream that is gone is left out; the list says so by then.
+	goneBan = 4 * time.Second
 	// fresh is how long a load that an upstream told counts.
 	fresh = 300 * time.Millisecond
 	// smooth is the weight of a new outcome in the average of failures.
@@ -47,6 +49,8 @@
 	Refused
 	// Lost calls got no answer.
 	Lost
+	// Gone calls found another process at the upstream's address.
+	Gone
 	// Abandoned calls ended for a reason that isn't the upstream's.
 	Abandoned
 )
@@ -136,6 +140,9 @@
 	switch r {
 	case Abandoned:
 		return
+	case Gone:
+		s.until = now.Add(goneBan)
+		return
 	case Lost:
 		s.lost++
 		if s.lost >= lostInRow {
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -7,6 +7,8 @@
 
 import (
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"cranberrypoint.example/coord/wire"
@@ -113,3 +115,21 @@
 
 // All returns a copy of the known upstreams by instance.
 func (r *Roster) All() map[string]Upstream { return maps.Clone(r.all) }
+
+// Usable returns the upstreams that may get new work. Of several instances at one
+// address only the newest can be there: entries of earlier lives lapse late.
+func (r *Roster) Usable() (l []Upstream) {
+	newest := map[string]Upstream{}
+	for _, u := range r.all {
+		if o, ok := newest[u.Address]; !ok || u.Born > o.Born {
+			newest[u.Address] = u
+		}
+	}
+	for _, u := range newest {
+		if !u.Leaving {
+			l = append(l, u)
+		}
+	}
+	slices.SortFunc(l, func(a, b Upstream) int { return strings.Compare(a.Instance, b.Instance) })
+	return l
+}
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -11,6 +11,10 @@
 const (
 	// smooth is the weight of a new sample in an average.
 	smooth = 0.1
+	// longRuns is how many average times most answers end within.
+	longRuns = 1.8
+	// firstLongRun stands for that before an answer has ended.
+	firstLongRun = 4 * time.Second
 	// aloneShare is the part of an engine's memory that entries hand out without its agent,
 	// each an equal part of it.
 	aloneShare = 0.7
@@ -23,6 +27,8 @@
 	// longest is the longest time that callers of a route wait, by route. A caller that
 	// waits less has waited before.
 	longest map[string]time.Duration
+	// runTime is the average time of an answer from its place to its end.
+	runTime float64
 	// alone counts the tokens that this entry holds at an instance without its agent.
 	alone map[string]int64
 }
@@ -31,6 +37,22 @@
 	return &engines{longest: map[string]time.Duration{}, alone: map[string]int64{}}
 }
 
+// learnRun takes in the time of a whole answer.
+func (e *engines) learnRun(d time.Duration) {
+	if e.runTime == 0 {
+		e.runTime = float64(d)
+	}
+	e.runTime += smooth * (float64(d) - e.runTime)
+}
+
+// longRun returns a time within which most answers end.
+func (e *engines) longRun() time.Duration {
+	if e.runTime == 0 {
+		return firstLongRun
+	}
+	return time.Duration(longRuns * e.runTime)
+}
+
 // learnRead takes in the time in which some tokens were read.
 func (e *engines) learnRead(tokens int64, d time.Duration) {
 	if tokens <= 0 {
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -30,6 +30,9 @@
 	workspace *rules.Workspace
 	// tokens were taken from the workspace's limit.
 	tokens int64
+	// arrivals and prefills count the sends that may have reached an upstream.
+	arrivals int
+	prefills int
 	// sent is true once an upstream may have run the request.
 	sent bool
 	// answered is true once the head of an answer was written.
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -7,6 +7,8 @@
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/upconn"
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -27,41 +29,15 @@
 			return
 		}
 		u, ok := p.pick(x, tried)
-		if !ok {
+		if !ok || !p.mayArrive(x, x.arrivals) {
 			break
 		}
 		tried[u.Instance] = true
-		a, n, err := p.send(x, u, calls.Send{}, "call")
-		if err != nil {
-			last = err
-			if maybeSent(err) {
-				x.sent = true
-			}
-			if p.over(x, err) {
-				return
-			}
-			if maybeSent(err) && !p.again(x, len(tried)) {
-				p.fail(x, unclear(err))
-				return
-			}
-			continue
-		}
-		if n.NotRun || n.OtherInstance {
-			_ = a.Body.Close()
-			p.ended(x, u, picker.Refused, n.Load, "call")
-			if !p.mayRetry(x) {
-				break
-			}
-			continue
-		}
-		x.sent = true
-		if a.Status >= http.StatusInternalServerError && p.again(x, len(tried)) {
-			p.ended(x, u, picker.Failed, n.Load, "call")
-			_ = a.Body.Close()
-			continue
+		done, err := p.callAt(x, u)
+		if done {
+			return
 		}
-		p.deliver(x, u, a, n, "call", false)
-		return
+		last = err
 	}
 	if x.sent {
 		p.fail(x, unclear(last))
@@ -70,6 +46,60 @@
 	p.fail(x, notRun(fullAgain, "all upstreams are full or out of reach"))
 }
 
+// callAt sends a plain call to an upstream. It reports false if another may be tried.
+func (p *Proxy) callAt(x *exchange, u roster.Upstream) (done bool, err error) {
+	a, n, err := p.send(x, u, calls.Send{}, "call")
+	if err == nil || maybeSent(err) {
+		x.arrivals++
+	}
+	switch {
+	case err != nil:
+		x.sent = x.sent || maybeSent(err)
+		if p.over(x, err) {
+			return true, err
+		}
+		if maybeSent(err) && !p.again(x) {
+			p.fail(x, unclear(err))
+			return true, err
+		}
+		return false, err
+	case n.NotRun || n.OtherInstance:
+		_ = a.Body.Close()
+		p.ended(x, u, refusal(n), n.Load, "call")
+		return false, errRefused
+	}
+	x.sent = true
+	if a.Status >= http.StatusInternalServerError && p.again(x) && p.mayArrive(x, x.arrivals) {
+		return p.repeat(x, u, a, n)
+	}
+	p.deliver(x, u, a, n, "call", false)
+	return true, nil
+}
+
+// repeat sends a call whose upstream failed to another one. The failure is passed on if
+// there is none: it is an answer.
+func (p *Proxy) repeat(x *exchange, u roster.Upstream, a *upconn.Response, n calls.Answer) (done bool, err error) {
+	o, ok := p.pick(x, map[string]bool{u.Instance: true})
+	if !ok {
+		p.deliver(x, u, a, n, "call", false)
+		return true, nil
+	}
+	p.ended(x, u, picker.Failed, n.Load, "call")
+	_ = a.Body.Close()
+	return p.callAt(x, o)
+}
+
+// errRefused means that an upstream didn't run a request.
+var errRefused = eris.New("the upstream refused the request")
+
+// refusal tells a full upstream from another process at its address.
+func refusal(n calls.Answer) picker.Result {
+	if n.OtherInstance {
+		return picker.Gone
+	}
+	return picker.Refused
+}
+
 // over ends an exchange whose caller left or whose time is over.
 func (p *Proxy) over(x *exchange, err error) bool {
 	if x.ctx.Err() == nil {
@@ -79,9 +109,9 @@
 	return true
 }
 
-// again reports whether a request that may have run can be sent once more.
-func (p *Proxy) again(x *exchange, sends int) bool {
-	return !x.route.Once() && sends < max(1, x.route.MaxAttempts) && p.mayRetry(x)
+// again reports whether a request that may have run can be run once more.
+func (p *Proxy) again(x *exchange) bool {
+	return !x.route.Once() && x.arrivals < max(1, x.route.MaxAttempts)
 }
 
 // pick chooses an upstream that wasn't tried.
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -84,7 +84,9 @@
 
 	view     atomic.Pointer[view]
 	draining atomic.Bool
-	active   atomic.Int64
+	// stopBy is when a stop in progress cuts what isn't finished.
+	stopBy atomic.Pointer[time.Time]
+	active atomic.Int64
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -214,13 +216,24 @@
 // Drain says that the entry isn't ready, serves what still comes for a notice, finishes
 // it, and returns at the latest when the context ends.
 func (p *Proxy) Drain(ctx context.Context) {
+	if d, ok := ctx.Deadline(); ok {
+		p.stopBy.Store(&d)
+	}
 	p.draining.Store(true)
 	p.log.WithField("event", "draining").WithField("active", p.active.Load()).Info("stop")
 	select {
 	case <-time.After(notice):
 	case <-ctx.Done():
 	}
+	// Idle connections are closed only now: until the balancer knew, requests came on them.
+	p.http.SetKeepAlivesEnabled(false)
 	for p.active.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(quietPeriod)
 	}
 }
+
+// ending reports whether a request that may take d would be cut by the entry's stop.
+func (p *Proxy) ending(d time.Duration) bool {
+	t := p.stopBy.Load()
+	return t != nil && time.Until(*t) < d
+}
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -74,7 +74,7 @@
 }
 
 var resultNames = map[picker.Result]string{
-	picker.Good: "good", picker.Failed: "failed", picker.Refused: "refused", picker.Lost: "lost", picker.Abandoned: "abandoned",
+	picker.Good: "good", picker.Failed: "failed", picker.Refused: "refused", picker.Lost: "lost", picker.Gone: "gone", picker.Abandoned: "abandoned",
 }
 
 // maybeSent reports whether a failed send may have reached the upstream.
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -12,6 +12,7 @@
 
 	"cranberrypoint.example/coord/budget"
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
 )
@@ -184,14 +185,25 @@
 	p.budget(x.service.Name).Requested(time.Now())
 }
 
-// mayRetry reports whether the retry budget allows another send, and counts it.
-func (p *Proxy) mayRetry(x *exchange) bool {
-	entries := 1 + p.mesh.Recent("entry")
+// mayArrive reports whether the retry budget allows a send besides those made. The first
+// send is free, and so is the first that only has the prompt read.
+func (p *Proxy) mayArrive(x *exchange, made int) bool {
+	if made == 0 {
+		return true
+	}
+	entries := 1 + p.mesh.Recent(mesh.Entry)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.budget(x.service.Name).Draw(time.Now(), entries)
 }
 
+// charge counts a first prefill that was refused.
+func (p *Proxy) charge(x *exchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget(x.service.Name).Charge(time.Now())
+}
+
 // notRun returns the fault of a request that no upstream ran.
 func notRun(again time.Duration, format string, args ...any) *fault.Error {
 	return fault.NotRun(fault.Overloaded, format, args...).WithAgain(time.Now().Add(again))
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -26,6 +26,8 @@
 	patienceMargin = 400 * time.Millisecond
 	// placeTries is the number of engines that are asked for a place.
 	placeTries = 2
+	// runTries is the number of engines that are tried after refusals.
+	runTries = 3
 	// fullStreamAgain is when to come back if nothing tells when a place is likely.
 	fullStreamAgain = time.Second
 	// leastAgain is the shortest wait that a refused caller is told.
@@ -44,8 +46,12 @@
 // prompt is read by another engine, then the answer.
 func (p *Proxy) stream(x *exchange) {
 	p.requested(x)
+	if e := p.stopping(x); e != nil {
+		p.fail(x, e)
+		return
+	}
 	tried := map[string]bool{}
-	for {
+	for range runTries {
 		if e := p.allowed(x); e != nil {
 			p.fail(x, e)
 			return
@@ -56,11 +62,22 @@
 			return
 		}
 		tried[t.spot.up.Instance] = true
-		done := p.runAt(x, t)
-		if done {
+		if p.runAt(x, t) {
 			return
 		}
 	}
+	p.fail(x, notRun(fullStreamAgain, "the engines refused the run"))
+}
+
+// stopping refuses a stream that the entry's own stop would cut.
+func (p *Proxy) stopping(x *exchange) *fault.Error {
+	p.mu.Lock()
+	d := p.engines.longRun()
+	p.mu.Unlock()
+	if !p.ending(d) {
+		return nil
+	}
+	return fault.NotRun(fault.Leaving, "the entry is stopping").WithAgain(time.Now().Add(leastAgain))
 }
 
 // runAt runs a stream at the engine of a place. It reports false if the request didn't run
@@ -78,30 +95,44 @@
 		p.fail(x, e)
 		return true
 	}
-	a, n, err := p.send(x, t.spot.up, calls.Send{Source: source}, "decode")
-	if err == nil && n.NotRun && source != "" && p.mayRetry(x) {
+	if !p.mayArrive(x, x.arrivals) {
+		free()
+		p.fail(x, notRun(fullStreamAgain, "the retry budget is spent"))
+		return true
+	}
+	a, n, err := p.decode(x, t, source)
+	if err == nil && n.NotRun && source != "" && p.mayArrive(x, x.arrivals) {
 		// The KV cache is gone: the engine that has the place reads the prompt itself.
 		_ = a.Body.Close()
 		p.ended(x, t.spot.up, picker.Refused, n.Load, "decode")
-		a, n, err = p.send(x, t.spot.up, calls.Send{}, "decode")
+		a, n, err = p.decode(x, t, "")
 	}
 	if err != nil {
 		return p.lostRun(x, err, free)
 	}
 	if n.NotRun || n.OtherInstance {
 		_ = a.Body.Close()
-		p.ended(x, t.spot.up, picker.Refused, n.Load, "decode")
-		if !p.mayRetry(x) {
-			p.fail(x, notRun(fullStreamAgain, "the engine refused the run"))
-			return true
-		}
+		p.ended(x, t.spot.up, refusal(n), n.Load, "decode")
 		return false
 	}
 	x.sent = true
+	began := time.Now()
 	p.deliver(x, t.spot.up, a, n, "decode", true)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines.learnRun(time.Since(began))
 	return true
 }
 
+// decode sends the request to the engine of a place.
+func (p *Proxy) decode(x *exchange, t ticket, source string) (a *upconn.Response, n calls.Answer, err error) {
+	a, n, err = p.send(x, t.spot.up, calls.Send{Source: source}, "decode")
+	if err == nil || maybeSent(err) {
+		x.arrivals++
+	}
+	return a, n, err
+}
+
 // lostRun deals with a send without an answer.
 func (p *Proxy) lostRun(x *exchange, err error, free func()) (done bool) {
 	if maybeSent(err) {
@@ -112,7 +143,7 @@
 	if p.over(x, err) {
 		return true
 	}
-	if !maybeSent(err) || p.again(x, x.note.sends) {
+	if !maybeSent(err) || p.again(x) {
 		return false
 	}
 	p.fail(x, unclear(err))
@@ -230,11 +261,17 @@
 	if !ok {
 		return "", free
 	}
+	if !p.mayArrive(x, x.prefills) {
+		return "", free
+	}
 	x.note.prefill = s.up.Instance
 	release := p.holdPrefill(x, s)
 	defer release()
 	began := time.Now()
 	a, n, err := p.send(x, s.up, calls.Send{Prefill: true}, "prefill")
+	if err == nil || maybeSent(err) {
+		x.prefills++
+	}
 	if err != nil {
 		x.note.cause = "prefill: " + err.Error()
 		return "", free
@@ -263,7 +300,8 @@
 		x.note.cause = "prefill: " + err.Error()
 		p.ended(x, s.up, lost(x), n.Load, "prefill")
 	case n.NotRun || n.OtherInstance:
-		p.ended(x, s.up, picker.Refused, n.Load, "prefill")
+		p.ended(x, s.up, refusal(n), n.Load, "prefill")
+		p.charge(x)
 	case a.Status != http.StatusOK:
 		p.ended(x, s.up, picker.Failed, n.Load, "prefill")
 	default:
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -98,10 +98,8 @@
 		p.log.WithFields(logrus.Fields{"event": "adopted", "version": r.Version(), "revision": l.Revision}).Info("configuration")
 	}
 	n := &view{rules: r, services: map[string][]roster.Upstream{}, asked: asked}
-	for _, u := range p.roster.All() {
-		if !u.Leaving {
-			n.services[u.Service] = append(n.services[u.Service], u)
-		}
+	for _, u := range p.roster.Usable() {
+		n.services[u.Service] = append(n.services[u.Service], u)
 	}
 	p.view.Store(n)
 	return nil
