--- a/coord/limits/limits.go
+++ b/coord/limits/limits.go
@@ -6,6 +6,9 @@
 // remembered: when the owner changes, the new bucket starts with a part of the burst. An
 // entry that reaches no owner uses a bucket of its own with a part of an equal share.
 //
+// An entry that hears too few of the others doesn't grant as an owner, and forgets what it
+// held as one.
+//
 // It answers one workspace that sends many times its rate, while entries die, are cut off
 // or start anew. What two owners grant at once while lists of entries differ is paid for
 // out of what operators tolerate beyond the limit.
@@ -20,14 +23,15 @@
 )
 
 const (
-	// over is what is granted of a rate and burst; operators tolerate more than this.
-	over = 1.1
+	// over is what an owner grants of a rate. What operators tolerate beyond it pays for
+	// streams that come together, and for two owners at once.
+	over = 1.05
 	// first is the part of the burst that a new bucket holds.
-	first = 0.25
+	first = 0.1
 	// aloneShare is the part of an equal share that an entry grants without an owner.
 	aloneShare = 0.5
 	// slackShare is the part of the tolerated overdraft that one bucket uses.
-	slackShare = 0.5
+	slackShare = 0.4
 	// advanceTerm is how long an entry keeps tokens that it took in advance.
 	advanceTerm = time.Second
 )
@@ -76,7 +80,7 @@
 		return true, 0
 	}
 	need := float64(tokens) - slackShare*b.terms.Slack
-	need = min(max(need, 1), over*b.terms.Burst)
+	need = min(max(need, 1), b.terms.Burst)
 	if b.level < need {
 		return false, time.Duration((need - b.level) / (over * b.terms.Rate) * float64(time.Second))
 	}
@@ -96,7 +100,7 @@
 	}
 	passed := max(0, now.Sub(b.updated))
 	b.updated = now
-	b.level = min(over*b.terms.Burst, b.level+over*b.terms.Rate*passed.Seconds())
+	b.level = min(b.terms.Burst, b.level+over*b.terms.Rate*passed.Seconds())
 	return b
 }
 
@@ -107,6 +111,11 @@
 	}
 }
 
+// MayOwn reports whether an entry may grant as an owner: it hears more than half of the
+// entries known lately, itself included. One that is cut off alone would otherwise grant
+// a whole limit beside those who go on without it.
+func MayOwn(live, recent int) bool { return 2*live > recent }
+
 // Owners returns entries in the order in which they rank for a workspace.
 func Owners(workspace string, entries []string) []string {
 	score := func(e string) uint64 { return xxhash.Sum64String(workspace + "\x00" + e) }
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -26,6 +26,8 @@
 	// MaxRecords bounds the records in a message, so that the size of an exchange doesn't
 	// grow with the fleet.
 	MaxRecords = 60
+	// isolation is the time without any exchange after which a process counts as cut off.
+	isolation = 900 * time.Millisecond
 	// seedOdds is one in how many exchanges goes to a seed although members are known:
 	// parts that formed apart find each other by it.
 	seedOdds = 5
@@ -42,6 +44,8 @@
 	seeds []string
 	rand  *rand.Rand
 	all   map[string]*known
+	// contact is when a member was last heard itself.
+	contact time.Time
 }
 
 // New returns the members as known to a process that starts.
@@ -129,6 +133,7 @@
 // Answer takes in a peer's request and returns the records that the peer lacks.
 func (m *Members) Answer(now time.Time, q *wire.GossipRequest) *wire.GossipReply {
 	if q.Self != nil {
+		m.contact = now
 		m.take(now, q.Self)
 	}
 	held := make(map[string]*wire.Seen, len(q.Seen))
@@ -149,6 +154,7 @@
 
 // Take takes in a peer's reply.
 func (m *Members) Take(now time.Time, a *wire.GossipReply) {
+	m.contact = now
 	for _, r := range a.GetMembers() {
 		m.take(now, r)
 	}
@@ -186,6 +192,11 @@
 	return l
 }
 
+// Isolated reports whether a process that knows others hears none of them.
+func (m *Members) Isolated(now time.Time) bool {
+	return len(m.all) > 0 && now.Sub(m.contact) > isolation
+}
+
 // Recent returns the number of members of a role that were heard of within forget,
 // dead or alive. It falls slowly, so shares of a limit that are divided by it grow only
 // after the dead can't use theirs any more.
--- a/coord/member/member_test.go
+++ b/coord/member/member_test.go
@@ -163,3 +163,18 @@
 		t.Errorf("live (-want +got):\n%s", d)
 	}
 }
+
+// TestIsolationIsNoticed cuts a process off both ways: it must know soon, and the others
+// must not think it of themselves.
+func TestIsolationIsNoticed(t *testing.T) {
+	w := newWorld(3)
+	w.net.Run(5 * time.Second)
+	n := name(5)
+	w.net.Cut = func(from, to string) bool { return from == n || to == n }
+	w.net.Run(isolation + Period)
+	for i := range size {
+		if d := cmp.Diff(name(i) == n, w.members[name(i)].Isolated(w.net.Now())); d != "" {
+			t.Errorf("%s is isolated (-want +got):\n%s", name(i), d)
+		}
+	}
+}
--- a/coord/mesh/mesh.go
+++ b/coord/mesh/mesh.go
@@ -155,6 +155,13 @@
 	return m.members.Recent(role)
 }
 
+// Isolated reports whether the process hears none of the members that it knows.
+func (m *Mesh) Isolated() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.Isolated(time.Now())
+}
+
 // Self returns the process's own record.
 func (m *Mesh) Self() *wire.Member {
 	m.mu.Lock()
--- /dev/null
+++ b/coord/rules/rules_test.go
@@ -0,0 +1,83 @@
+package rules
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func config() Config {
+	return Config{
+		Version:  3,
+		Services: []Service{{Name: "app"}, {Name: "llm"}},
+		Routes: []Route{
+			{Name: "short", Host: "A.example", Prefix: "/x/", Shares: []Share{{"app", 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Shares: []Share{{"app", 90}, {"llm", 10}}},
+			{Name: "other", Host: "b.example", Prefix: "/x/", Shares: []Share{{"llm", 1}}},
+		},
+		Workspaces: []Workspace{{Name: "w", Keys: []string{"k1", "k2"}}},
+	}
+}
+
+func TestRoute(t *testing.T) {
+	r, err := New(config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/z", "short"},
+		{"a.EXAMPLE", "/x/y/z", "long"},
+		{"a.example", "/x/y", "short"},
+		{"b.example", "/x/y/z", "other"},
+		{"a.example", "/z/", ""},
+		{"c.example", "/x/", ""},
+	} {
+		got := ""
+		if t := r.Route(c.host, c.path); t != nil {
+			got = t.Name
+		}
+		if d := cmp.Diff(c.want, got); d != "" {
+			t.Errorf("%s%s (-want +got):\n%s", c.host, c.path, d)
+		}
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r, err := New(config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]int{}
+	for n := range 200 {
+		got[r.Route("a.example", "/x/y/").Pick(n)]++
+	}
+	if d := cmp.Diff(map[string]int{"app": 180, "llm": 20}, got); d != "" {
+		t.Errorf("picks (-want +got):\n%s", d)
+	}
+}
+
+func TestKeys(t *testing.T) {
+	r, err := New(config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := r.Workspace("k2"); w == nil || w.Name != "w" {
+		t.Errorf("workspace of k2: %v", w)
+	}
+	if w := r.Workspace(""); w != nil {
+		t.Errorf("workspace of no key: %v", w)
+	}
+}
+
+func TestWrongConfigurationIsNamed(t *testing.T) {
+	c := config()
+	c.Routes[0].Prefix = "x"
+	d := config()
+	d.Routes[1].Shares[0].Service = "none"
+	for want, c := range map[string]Config{"route short": c, "route long": d} {
+		if _, err := New(c); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("error %v doesn't name %s", err, want)
+		}
+	}
+}
--- a/entry/proxy/limit.go
+++ b/entry/proxy/limit.go
@@ -10,6 +10,7 @@
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
@@ -28,6 +29,9 @@
 	advanceMost  = 10
 )
 
+// errNoOwner means that an entry hears too few others to grant.
+var errNoOwner = eris.New("this entry is cut off and owns no limits")
+
 // limit takes the request's tokens from its workspace's limit.
 func (p *Proxy) limit(x *exchange) *fault.Error {
 	w := x.workspace
@@ -77,7 +81,7 @@
 	q := takeRequest(x.workspace, n, x.note.version)
 	for _, o := range p.owners(x.workspace.Name) {
 		if o == p.settings.VM {
-			return p.grant(p.limits, q, p.terms(q))
+			return p.grant(p.owned(), q, p.terms(q))
 		}
 		r, err := p.ask(x.r.Context(), o, q)
 		if err == nil {
@@ -117,6 +121,9 @@
 	live := p.mesh.Live(mesh.Entry)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.owns {
+		return nil
+	}
 	for _, m := range live {
 		if now.After(p.unreached[m.Name]) {
 			names = append(names, m.Name)
@@ -147,13 +154,19 @@
 
 // Take serves other entries the buckets that this one owns.
 func (p *Proxy) Take(_ context.Context, q *wire.TakeRequest) (*wire.TakeReply, error) {
+	p.mu.Lock()
+	owns := p.owns
+	p.mu.Unlock()
+	if !owns {
+		return nil, errNoOwner
+	}
 	if q.Tokens < 0 {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.limits.Return(q.Workspace, -q.Tokens)
 		return &wire.TakeReply{Granted: true}, nil
 	}
-	ok, wait := p.grant(p.limits, q, p.terms(q))
+	ok, wait := p.grant(p.owned(), q, p.terms(q))
 	return &wire.TakeReply{Granted: ok, WaitMicros: wait.Microseconds()}, nil
 }
 
@@ -166,7 +179,11 @@
 	}
 	x.tokens = 0
 	q := takeRequest(x.workspace, -n, x.note.version)
-	o := p.owners(x.workspace.Name)[0]
+	l := p.owners(x.workspace.Name)
+	if len(l) == 0 {
+		return
+	}
+	o := l[0]
 	if o == p.settings.VM {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -179,3 +196,10 @@
 		}
 	})
 }
+
+// owned returns the buckets that this entry owns.
+func (p *Proxy) owned() *limits.Limits {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -95,6 +95,8 @@
 	limits   *limits.Limits
 	alone    *limits.Limits
 	advances limits.Advances
+	// owns is false while this entry hears too few others to grant as an owner.
+	owns bool
 	// unreached are the owners that don't answer, until when they aren't asked.
 	unreached map[string]time.Time
 	budgets   map[string]*budget.Budget
@@ -211,7 +213,21 @@
 }
 
 // meet takes in who is live.
-func (p *Proxy) meet() { p.follow(p.mesh.Live(mesh.Agent)) }
+func (p *Proxy) meet() {
+	p.follow(p.mesh.Live(mesh.Agent))
+	live := 1 + len(p.mesh.Live(mesh.Entry))
+	recent := 1 + p.mesh.Recent(mesh.Entry)
+	owns := limits.MayOwn(live, recent) && !p.mesh.Isolated()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if owns != p.owns {
+		p.log.WithFields(logrus.Fields{"event": "owning", "owns": owns, "live": live, "recent": recent}).Info("limit")
+	}
+	if p.owns && !owns {
+		p.limits = limits.New()
+	}
+	p.owns = owns
+}
 
 // Drain says that the entry isn't ready, serves what still comes for a notice, finishes
 // it, and returns at the latest when the context ends.
