--- a/coord/upconn/conn.go
+++ b/coord/upconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -31,6 +32,8 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
+	// limit bounds what r may read more.
+	limit *io.LimitedReader
 	// until is when an idle connection is closed.
 	until time.Time
 }
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -24,14 +25,14 @@
 const (
 	// maxIdle bounds the idle connections to one address.
 	maxIdle = 16
-	// maxHeader bounds the head of an answer in bytes.
-	maxHeader = 64 << 10
+	// maxHeader bounds the head of an answer, and answers of other requests before it, in bytes.
+	maxHeader = 256 << 10
+	// readBuffer is the size of a connection's read buffer in bytes.
+	readBuffer = 8 << 10
 	// inlineBody is the largest body, in bytes, that is written before the answer is read.
 	inlineBody = 32 << 10
 	// maxForeign bounds the answers of other requests that are skipped.
 	maxForeign = 3
-	// maxSkip bounds the body, in bytes, of an answer that is skipped.
-	maxSkip = 1 << 20
 )
 
 // Request is one send to one upstream.
@@ -154,7 +155,8 @@
 	if p.opened != nil {
 		p.opened()
 	}
-	return &conn{Conn: n, r: bufio.NewReaderSize(n, 8<<10)}, nil
+	l := &io.LimitedReader{R: n, N: math.MaxInt64}
+	return &conn{Conn: n, limit: l, r: bufio.NewReaderSize(l, readBuffer)}, nil
 }
 
 // Do sends a request to an address and returns the head of its answer. When the context
@@ -232,6 +234,8 @@
 // answer reads the head of the answer to q. Interim answers and whole answers of other
 // requests before it are skipped.
 func answer(c *conn, q *Request) (*http.Response, error) {
+	c.limit.N = maxHeader
+	defer func() { c.limit.N = math.MaxInt64 }()
 	for range maxForeign {
 		h, err := http.ReadResponse(c.r, &http.Request{Method: q.Method})
 		if err != nil {
@@ -246,7 +250,7 @@
 		if h.ContentLength < 0 && len(h.TransferEncoding) == 0 {
 			return nil, errForeign
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(h.Body, maxSkip)); err != nil {
+		if _, err := io.Copy(io.Discard, h.Body); err != nil {
 			return nil, err
 		}
 	}
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
@@ -146,10 +147,15 @@
 }
 
 // aloneRoom returns the tokens that this entry may still hand out at an engine whose
-// agent isn't heard.
+// agent isn't heard. Where it has nothing there, one run of any size may go: large runs
+// would never fit into a part of the memory.
 func (p *Proxy) aloneRoom(e *rules.Engine, u roster.Upstream) int64 {
-	n := int64(1 + p.mesh.Recent("entry"))
-	return int64(aloneShare*float64(e.Memory))/n - p.engines.alone[u.Instance]
+	taken := p.engines.alone[u.Instance]
+	if taken == 0 {
+		return e.Memory
+	}
+	n := int64(1 + p.mesh.Recent(mesh.Entry))
+	return int64(aloneShare*float64(e.Memory))/n - taken
 }
 
 // prefillSpot returns the engine that reads a prompt first, and the tokens before it.
@@ -168,7 +174,7 @@
 // reading returns the prompt tokens that an engine has yet to read.
 func (p *Proxy) reading(s spot) int64 {
 	if s.state == nil {
-		return p.engines.alone[s.up.Instance] * int64(1+p.mesh.Recent("entry"))
+		return p.engines.alone[s.up.Instance] * int64(1+p.mesh.Recent(mesh.Entry))
 	}
 	return max(s.state.Backlog, s.follower.reading)
 }
