place, entry: places by learned lengths of answers; patient callers aren't the rule

Ruled out: slots (5 to 7 of 12 taken at a refusal), places that were not freed. Change: the agent learns how long answers get and admits a run if all fit in 22 of 24 drawn futures; a caller counts as returned against the most frequent time limit.

--- a/agent/grants/hold.go
+++ b/agent/grants/hold.go
@@ -32,18 +32,30 @@
 	if err := s.Send(reply(o)); err != nil || !o.Granted {
 		return err
 	}
-	return wait(s)
+	if wait(s) {
+		g.end(q.Request)
+	}
+	return nil
 }
 
-// wait returns when the entry ends the stream.
-func wait(s wire.DRPCMesh_HoldStream) error {
+// wait returns when the entry ends the stream, and whether the answer was whole.
+func wait(s wire.DRPCMesh_HoldStream) (whole bool) {
 	for {
-		if _, err := s.Recv(); err != nil {
-			return nil
+		m, err := s.Recv()
+		if err != nil {
+			return whole
 		}
+		whole = m.Whole
 	}
 }
 
+// end ends the place of a whole answer.
+func (g *Grants) end(request string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tell(g.ledger.End(time.Now(), request))
+}
+
 func (g *Grants) open(q *wire.HoldRequest, c chan place.Outcome) {
 	now := time.Now()
 	g.mu.Lock()
@@ -87,7 +99,8 @@
 	if err := s.Send(&wire.HoldReply{Granted: true}); err != nil {
 		return err
 	}
-	return wait(s)
+	wait(s)
+	return nil
 }
 
 func (g *Grants) add(tokens int64) {
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -3,10 +3,10 @@
 //
 // It answers the load pattern that costs streams most: answers are much longer than
 // prompts, so an engine that admits by free slots runs out of memory seconds later and
-// preempts. A run is admitted only if the sum of all runs, each growing to its most, stays
-// within memory until the last has ended. Runs at different points of their answers
-// peak at different times, which the plan counts, so no memory is kept for sums that
-// can't occur.
+// preempts. A run is admitted only if the sum of all runs, each growing to its end, stays
+// within memory until the last has ended, in nearly all of some futures. Runs at different
+// points of their answers peak at different times, which the plan counts, so no memory is
+// kept for sums that can't occur; how long answers get is learned from those that ended.
 //
 // In a burst, requests that can still begin in time go first, the earliest deadline
 // before the others; those that have become late take what is left, in order of arrival.
@@ -15,6 +15,7 @@
 package place
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -84,15 +85,15 @@
 }
 
 type run struct {
+	prompt int64
 	tokens int64
-	end    int64
+	most   int64
+	fate   fate
 	// seen is when the engine last reported the run; zero if it never did.
 	seen    time.Time
 	granted time.Time
 }
 
-func (r *run) growth() growth { return growth{r.tokens, max(0, r.end-r.tokens)} }
-
 // Ledger is the reducer. Use New.
 type Ledger struct {
 	memory int64
@@ -100,6 +101,11 @@
 	born   int64
 	runs   map[string]*run
 	queue  []Ask
+	// lengths are those of ended answers.
+	lengths lengths
+	rand    *rand.Rand
+	// usual is the fate of a run that isn't there yet.
+	usual fate
 	// step is the average time of a step of the batch.
 	step time.Duration
 	// most and prompt are averages of what was asked for, in tokens.
@@ -110,7 +116,16 @@
 
 // New returns a ledger that grants nothing before the engine has reported its memory.
 func New() *Ledger {
-	return &Ledger{slots: firstSlots, runs: map[string]*run{}, step: firstStep, most: firstMost, prompt: firstMost}
+	r := rand.New(rand.NewPCG(1, 2))
+	return &Ledger{
+		slots:  firstSlots,
+		runs:   map[string]*run{},
+		rand:   r,
+		usual:  newFate(r),
+		step:   firstStep,
+		most:   firstMost,
+		prompt: firstMost,
+	}
 }
 
 // SetSlots sets the size of the engine's batch.
@@ -124,11 +139,10 @@
 func (l *Ledger) Ask(now time.Time, a Ask) []Outcome {
 	l.most += smooth * (float64(a.Most) - l.most)
 	l.prompt += smooth * (float64(a.Prompt) - l.prompt)
-	n := growth{a.Prompt, a.Most}
-	if l.memory > 0 && peak([]growth{n}) > l.memory {
+	if l.memory > 0 && peak([]growth{{a.Prompt, a.Most}}) > l.memory {
 		return []Outcome{{Request: a.Request, Reason: NeverFits, Again: now}}
 	}
-	if w := l.wait(n, l.ahead(now, a)); now.Add(w).After(a.Patience) {
+	if w := l.wait(l.candidate(a), l.ahead(now, a)); now.Add(w).After(a.Patience) {
 		return []Outcome{{Request: a.Request, Reason: NoPlace, Again: now.Add(w)}}
 	}
 	l.queue = append(l.queue, a)
@@ -146,16 +160,37 @@
 }
 
 // wait returns the time after which a run is expected to fit.
-func (l *Ledger) wait(n growth, ahead int) time.Duration {
-	return time.Duration(stepsUntil(l.growths(), n, l.memory, l.slots, ahead)) * l.step
+func (l *Ledger) wait(c candidate, ahead int) time.Duration {
+	p := l.plan()
+	if ahead == 0 && p.fits(c) {
+		return 0
+	}
+	return time.Duration(p.stepsUntil(c, ahead)) * l.step
 }
 
-func (l *Ledger) growths() []growth {
-	g := make([]growth, 0, len(l.runs))
+// median is the quantile of the lengths that is expected.
+const median = 0.5
+
+// plan returns what the runs may do.
+func (l *Ledger) plan() *plan {
+	p := &plan{memory: l.memory, slots: l.slots}
 	for _, r := range l.runs {
-		g = append(g, r.growth())
+		done := r.tokens - r.prompt
+		for i := range p.in {
+			p.in[i] = append(p.in[i], growth{r.tokens, l.lengths.left(done, r.most, r.fate[i])})
+		}
+		p.likely = append(p.likely, growth{r.tokens, l.lengths.left(done, r.most, median)})
+	}
+	return p
+}
+
+// candidate returns what a request may do.
+func (l *Ledger) candidate(a Ask) (c candidate) {
+	for i := range c.in {
+		c.in[i] = growth{a.Prompt, l.lengths.left(0, a.Most, l.usual[i])}
 	}
-	return g
+	c.likely = growth{a.Prompt, l.lengths.left(0, a.Most, median)}
+	return c
 }
 
 // before orders waiting requests: the timely ones first, by priority and deadline.
@@ -181,18 +216,18 @@
 		if now.Before(a.Patience) {
 			return false
 		}
-		w := l.wait(growth{a.Prompt, a.Most}, 0)
+		w := l.wait(l.candidate(a), 0)
 		out = append(out, Outcome{Request: a.Request, Reason: Waited, Again: now.Add(w)})
 		return true
 	})
 	slices.SortStableFunc(l.queue, func(a, b Ask) int { return before(now, a, b) })
 	for len(l.queue) > 0 {
 		a := l.queue[0]
-		if !fits(l.growths(), growth{a.Prompt, a.Most}, l.memory, l.slots) {
+		if !l.plan().fits(l.candidate(a)) {
 			break
 		}
 		l.queue = l.queue[1:]
-		l.runs[a.Request] = &run{tokens: a.Prompt, end: a.Prompt + a.Most, granted: now}
+		l.runs[a.Request] = &run{prompt: a.Prompt, tokens: a.Prompt, most: a.Most, fate: newFate(l.rand), granted: now}
 		out = append(out, Outcome{Request: a.Request, Granted: true})
 	}
 	return out
@@ -205,6 +240,14 @@
 	return l.Tick(now)
 }
 
+// End ends the place of a run whose answer was whole.
+func (l *Ledger) End(now time.Time, request string) []Outcome {
+	if r := l.runs[request]; r != nil && !r.seen.IsZero() {
+		l.lengths.learn(r.tokens-r.prompt, r.most)
+	}
+	return l.Release(now, request)
+}
+
 // Observe takes in the engine's report, which is newer than what was granted.
 func (l *Ledger) Observe(now time.Time, r Report) []Outcome {
 	if r.Born != l.born {
@@ -231,7 +274,7 @@
 func (l *Ledger) saw(now time.Time, x Running) {
 	k := l.runs[x.Request]
 	if k == nil {
-		k = &run{end: x.Tokens + int64(l.most), granted: now}
+		k = &run{prompt: x.Tokens, tokens: x.Tokens, most: int64(l.most), fate: newFate(l.rand), granted: now}
 		l.runs[x.Request] = k
 	}
 	k.tokens = max(k.tokens, x.Tokens)
@@ -276,16 +319,18 @@
 
 // State returns the present state.
 func (l *Ledger) State() State {
-	g := l.growths()
+	c := l.candidate(Ask{Prompt: int64(l.prompt), Most: int64(l.most)})
 	s := State{
 		Running: len(l.runs),
 		Waiting: len(l.queue),
 		Memory:  l.memory,
 		Slots:   l.slots,
-		Wait:    l.wait(growth{int64(l.prompt), int64(l.most)}, len(l.queue)),
 	}
 	if s.Waiting == 0 {
-		s.Room = room(g, int64(l.most), l.memory, l.slots)
+		s.Room = l.plan().room(c)
+	}
+	if s.Room < int64(l.prompt) {
+		s.Wait = l.wait(c, len(l.queue))
 	}
 	return s
 }
--- a/coord/place/plan.go
+++ b/coord/place/plan.go
@@ -14,6 +14,11 @@
 // block is the number of tokens by which engines hand out memory.
 const block = 16
 
+// mostOverflows is the number of futures in which a plan may need more memory than there
+// is: an engine that runs out preempts a run and reads its prompt again, which costs
+// less than memory that is nearly always free.
+const mostOverflows = 2
+
 // byLeft orders runs by the time at which they end: all runs of a batch grow by one
 // token in a step.
 func byLeft(a, b growth) int { return cmp.Compare(a.left, b.left) }
@@ -35,26 +40,50 @@
 	return most
 }
 
-// fits reports whether a further run can be admitted without any run being preempted.
-func fits(runs []growth, n growth, memory int64, slots int) bool {
-	if len(runs) >= slots {
+// plan is what runs may do: the growths of all in each future.
+type plan struct {
+	memory int64
+	slots  int
+	// in holds the growths of the runs in each future.
+	in [futures][]growth
+	// likely holds the growths that are expected.
+	likely []growth
+}
+
+// candidate is a further run in each future.
+type candidate struct {
+	in     [futures]growth
+	likely growth
+}
+
+// fits reports whether a further run can be admitted with few futures in which a run is
+// preempted.
+func (p *plan) fits(c candidate) bool {
+	if len(p.likely) >= p.slots {
 		return false
 	}
-	return peak(append(slices.Clip(runs), n)) <= memory
+	over := 0
+	for i := range p.in {
+		if peak(append(slices.Clip(p.in[i]), c.in[i])) > p.memory {
+			over++
+		}
+		if over > mostOverflows {
+			return false
+		}
+	}
+	return true
 }
 
-// stepsUntil returns the number of tokens after which a further run fits, when ahead
-// others are waiting before it.
-func stepsUntil(runs []growth, n growth, memory int64, slots, ahead int) int64 {
-	if ahead == 0 && fits(runs, n, memory, slots) {
-		return 0
-	}
-	r := slices.SortedFunc(slices.Values(runs), byLeft)
+// stepsUntil returns the number of tokens after which a further run is expected to fit,
+// when ahead others are waiting before it.
+func (p *plan) stepsUntil(c candidate, ahead int) int64 {
+	r := slices.SortedFunc(slices.Values(p.likely), byLeft)
 	for i := range r {
 		if i < ahead {
 			continue
 		}
-		if fits(later(r[i+1:], r[i].left), n, memory, slots) {
+		l := later(r[i+1:], r[i].left)
+		if len(l) < p.slots && peak(append(l, c.likely)) <= p.memory {
 			return r[i].left
 		}
 	}
@@ -66,23 +95,20 @@
 
 // later returns the runs as they are after some steps.
 func later(runs []growth, steps int64) []growth {
-	l := make([]growth, len(runs))
+	l := make([]growth, len(runs), len(runs)+1)
 	for i, g := range runs {
 		l[i] = growth{g.tokens + steps, g.left - steps}
 	}
 	return l
 }
 
-// room returns the largest prompt that could be admitted now with an answer of most
-// tokens, in tokens; 0 where none fits.
-func room(runs []growth, most, memory int64, slots int) int64 {
-	if len(runs) >= slots {
-		return 0
-	}
-	low, high := int64(0), memory
-	for high-low > block {
+// room returns the largest prompt that could be admitted now with an answer like that of
+// the candidate, in tokens; 0 where none fits.
+func (p *plan) room(c candidate) int64 {
+	low, high := int64(0), p.memory
+	for high-low > block*block {
 		m := (low + high) / 2
-		if fits(runs, growth{m, most}, memory, slots) {
+		if p.fits(c.withPrompt(m)) {
 			low = m
 		} else {
 			high = m
@@ -90,3 +116,11 @@
 	}
 	return low
 }
+
+func (c candidate) withPrompt(tokens int64) candidate {
+	for i := range c.in {
+		c.in[i].tokens = tokens
+	}
+	c.likely.tokens = tokens
+	return c
+}
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -25,9 +25,9 @@
 type engines struct {
 	// perToken is the time in which an engine reads a prompt token; 0 until one was read.
 	perToken float64
-	// longest is the longest time that callers of a route wait, by route. A caller that
-	// waits less has waited before.
-	longest map[string]time.Duration
+	// usual is the time that most callers of a route wait, by route. A caller that waits
+	// less has waited before.
+	usual map[string]*frequent
 	// runTime is the average time of an answer from its place to its end.
 	runTime float64
 	// alone counts the tokens that this entry holds at an instance without its agent.
@@ -35,7 +35,7 @@
 }
 
 func newEngines() *engines {
-	return &engines{longest: map[string]time.Duration{}, alone: map[string]int64{}}
+	return &engines{usual: map[string]*frequent{}, alone: map[string]int64{}}
 }
 
 // learnRun takes in the time of a whole answer.
@@ -77,10 +77,13 @@
 	if left <= 0 {
 		return 0
 	}
-	if left > e.longest[route] {
-		e.longest[route] = left
+	f := e.usual[route]
+	if f == nil {
+		f = &frequent{}
+		e.usual[route] = f
 	}
-	return e.longest[route] - left
+	f.add(left)
+	return max(0, f.most()-left)
 }
 
 // spot is an engine with what its agent tells, if it is heard.
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -48,12 +48,14 @@
 	sends    int
 	instance string
 	prefill  string
-	waited   time.Duration
-	read     time.Duration
-	first    time.Duration
-	bytes    int64
-	version  uint64
-	age      time.Duration
+	// slack is how long a place could be awaited for an answer that begins in time.
+	slack   time.Duration
+	waited  time.Duration
+	read    time.Duration
+	first   time.Duration
+	bytes   int64
+	version uint64
+	age     time.Duration
 }
 
 // Outcomes of requests.
@@ -161,7 +163,7 @@
 			f[k] = v
 		}
 	}
-	for k, v := range map[string]time.Duration{"waited-ms": n.waited, "read-ms": n.read, "first-ms": n.first} {
+	for k, v := range map[string]time.Duration{"slack-ms": n.slack, "waited-ms": n.waited, "read-ms": n.read, "first-ms": n.first} {
 		if v != 0 {
 			f[k] = v.Milliseconds()
 		}
--- /dev/null
+++ b/entry/proxy/frequent_test.go
@@ -0,0 +1,44 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestReturningCallersAreKnown replays callers of whom most wait equally long, a few are
+// more patient, and some come back with what is left of their time.
+func TestReturningCallersAreKnown(t *testing.T) {
+	e := newEngines()
+	for i := range 300 {
+		left := 14 * time.Second
+		switch {
+		case i%25 == 24:
+			left = 28 * time.Second
+		case i%3 == 0:
+			left = time.Duration(9000+i) * time.Millisecond
+		}
+		got := e.waited("r", left)
+		if i < 20 {
+			continue
+		}
+		if d := cmp.Diff(max(0, 14*time.Second-left), got); d != "" {
+			t.Fatalf("waited before with %s left (-want +got):\n%s", left, d)
+		}
+	}
+}
+
+// TestUsualWaitChanges follows callers that begin to wait longer.
+func TestUsualWaitChanges(t *testing.T) {
+	e := newEngines()
+	for range 500 {
+		e.waited("r", 4*time.Second)
+	}
+	for range 2 * frequentCap {
+		e.waited("r", 14*time.Second)
+	}
+	if d := cmp.Diff(10*time.Second, e.waited("r", 4*time.Second)); d != "" {
+		t.Errorf("waited before (-want +got):\n%s", d)
+	}
+}
--- a/entry/proxy/hold.go
+++ b/entry/proxy/hold.go
@@ -11,8 +11,9 @@
 // holdMargin is how long after the end of the patience an agent's answer is awaited.
 const holdMargin = 100 * time.Millisecond
 
-// hold asks the agent of an engine for a place. When it is granted, release gives it back.
-func (p *Proxy) hold(ctx context.Context, f *follower, q *wire.HoldRequest) (r *wire.HoldReply, release func(), err error) {
+// hold asks the agent of an engine for a place. When it is granted, release
+// gives it back and tells whether the answer was whole.
+func (p *Proxy) hold(ctx context.Context, f *follower, q *wire.HoldRequest) (r *wire.HoldReply, release func(whole bool), err error) {
 	defer fault.Annotate(&err, "place of %s", f.member.Name)
 	ctx, cancel := context.WithCancel(ctx)
 	patience := time.AfterFunc(micros(q.PatienceMicros)+holdMargin, cancel)
@@ -40,16 +41,21 @@
 		return nil, nil, err
 	}
 	patience.Stop()
-	release = func() { p.tasks.Go(func() { end(closed(s)) }) }
+	release = func(whole bool) { p.tasks.Go(func() { end(closed(s, whole)) }) }
 	if !r.Granted {
-		release()
+		release(false)
 	}
 	return r, release, nil
 }
 
 // closed ends a stream and reports whether the agent has confirmed it, so that the
 // connection is fit for another use.
-func closed(s wire.DRPCMesh_HoldClient) bool {
+func closed(s wire.DRPCMesh_HoldClient, whole bool) bool {
+	if whole {
+		if err := s.Send(&wire.HoldRequest{Whole: true}); err != nil {
+			return false
+		}
+	}
 	if err := s.CloseSend(); err != nil {
 		return false
 	}
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -39,7 +39,7 @@
 // ticket is a granted place.
 type ticket struct {
 	spot    spot
-	release func()
+	release func(whole bool)
 }
 
 // stream answers a request at a model engine: the place for the answer first, then the
@@ -83,7 +83,7 @@
 // runAt runs a stream at the engine of a place. It reports false if the request didn't run
 // and may be tried at another engine.
 func (p *Proxy) runAt(x *exchange, t ticket) (done bool) {
-	defer t.release()
+	defer func() { t.release(x.note.outcome == outcomeAnswered) }()
 	source, free := p.prefill(x, t)
 	if x.ctx.Err() != nil {
 		free()
@@ -212,6 +212,7 @@
 		p.mu.Unlock()
 	}()
 	timely, patience := p.times(x, read)
+	x.note.slack = time.Until(timely)
 	q := &wire.HoldRequest{
 		Request:        x.call.ID,
 		Prompt:         x.call.Prompt,
@@ -244,7 +245,7 @@
 		return ticket{}, r, nil
 	}
 	p.engines.alone[s.up.Instance] += n
-	release := func() {
+	release := func(bool) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.engines.alone[s.up.Instance] -= n
@@ -332,10 +333,10 @@
 	if err != nil {
 		// The agent doesn't know of the prompt; the engine's own queue bounds what follows.
 		p.log.WithField("event", "backlog-untold").WithField("request", x.call.ID).WithError(err).Debug("place")
-		end = func() {}
+		end = func(bool) {}
 	}
 	return func() {
-		end()
+		end(false)
 		p.mu.Lock()
 		s.follower.reading -= n
 		p.mu.Unlock()
