--- a/agent/grants/engine.go
+++ b/agent/grants/engine.go
@@ -119,6 +119,11 @@
 		l.WithError(err).Warn("order")
 		return
 	}
+	if status == http.StatusAccepted {
+		g.mu.Lock()
+		g.ordered = o.Stage
+		g.mu.Unlock()
+	}
 	l.WithField("status", status).Info("order")
 }
 
--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -76,6 +76,8 @@
 	// reported is when the engine last answered.
 	reported time.Time
 	orders   int64
+	// ordered is the stage of the last order that the engine took.
+	ordered wire.Stage
 	// changed is closed and replaced whenever the state changes.
 	changed chan struct{}
 }
@@ -144,7 +146,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	self.Stage = wire.Stage_STAGE_UNKNOWN
-	if g.sound(time.Now()) {
+	switch {
+	case !g.sound(time.Now()):
+	case g.report.Busy && g.ordered != wire.Stage_STAGE_UNKNOWN:
+		self.Stage = g.ordered
+	default:
 		self.Stage = g.report.Stage
 	}
 }
--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -229,6 +229,11 @@
 	return wire.NewDRPCMeshClient(c).Gossip(ctx, m)
 }
 
+// List calls an entry's List.
+func List(c drpc.Conn, ctx context.Context, m *wire.ListRequest) (*wire.ListReply, error) {
+	return wire.NewDRPCMeshClient(c).List(ctx, m)
+}
+
 // Take calls an entry's Take.
 func Take(c drpc.Conn, ctx context.Context, m *wire.TakeRequest) (*wire.TakeReply, error) {
 	return wire.NewDRPCMeshClient(c).Take(ctx, m)
--- a/coord/rules/rules.go
+++ b/coord/rules/rules.go
@@ -161,6 +161,9 @@
 	return nil
 }
 
+// Config returns the configuration that the rules were made of.
+func (r *Rules) Config() Config { return r.config }
+
 // Version returns the version of the configuration.
 func (r *Rules) Version() uint64 { return r.config.Version }
 
--- a/coord/stages/stages.go
+++ b/coord/stages/stages.go
@@ -32,7 +32,8 @@
 
 // Peer is what the agent of an engine tells.
 type Peer struct {
-	Name  string
+	Name string
+	// Stage is that which the engine serves, or will serve by an order in progress.
 	Stage wire.Stage
 }
 
@@ -41,6 +42,7 @@
 	self    string
 	started time.Time
 	want    wire.Stage
+	engines int
 	since   time.Time
 	ordered time.Time
 }
@@ -59,9 +61,10 @@
 // Decide takes in what all agents of the service tell, with this one, and returns the
 // stage to order, if any. Peers that tell no stage count for none.
 func (s *Stages) Decide(now time.Time, peers []Peer) (to wire.Stage, ok bool) {
-	want := s.wish(peers)
-	if want == wire.Stage_STAGE_UNKNOWN || want != s.want {
-		s.want, s.since = want, now
+	want, engines := s.wish(peers)
+	// Agents that start one after another would decide on a part of the engines.
+	if want == wire.Stage_STAGE_UNKNOWN || want != s.want || engines != s.engines {
+		s.want, s.engines, s.since = want, engines, now
 	}
 	if want == wire.Stage_STAGE_UNKNOWN {
 		return want, false
@@ -77,8 +80,9 @@
 	return want, true
 }
 
-// wish returns the stage that this agent's engine should change to, or unknown.
-func (s *Stages) wish(peers []Peer) wire.Stage {
+// wish returns the stage that this agent's engine should change to, or unknown, and the
+// number of engines that tell their stage.
+func (s *Stages) wish(peers []Peer) (to wire.Stage, engines int) {
 	var prefill, decode []string
 	for _, p := range peers {
 		switch p.Stage {
@@ -90,12 +94,13 @@
 	}
 	slices.Sort(prefill)
 	slices.Sort(decode)
-	n := Prefills(len(prefill) + len(decode))
+	engines = len(prefill) + len(decode)
+	n := Prefills(engines)
 	switch {
 	case len(prefill) > n && slices.Contains(prefill[n:], s.self):
-		return wire.Stage_STAGE_DECODE
+		return wire.Stage_STAGE_DECODE, engines
 	case len(prefill) < n && slices.Contains(decode[:n-len(prefill)], s.self):
-		return wire.Stage_STAGE_PREFILL
+		return wire.Stage_STAGE_PREFILL, engines
 	}
-	return wire.Stage_STAGE_UNKNOWN
+	return wire.Stage_STAGE_UNKNOWN, engines
 }
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -14,6 +14,7 @@
 	connections prometheus.Counter
 	lists       prometheus.Counter
 	listErrors  prometheus.Counter
+	learned     prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -26,6 +27,7 @@
 		sends:       opsrv.Counters(r, "proxy_sends_total", "Sends to upstreams.", "purpose", "result"),
 		connections: opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		lists:       opsrv.Counter(r, "store_reads_total", "Reads of the store."),
+		learned:     opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
 		listErrors:  opsrv.Counter(r, "store_read_errors_total", "Reads of the store that failed."),
 	}
 }
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -84,6 +84,8 @@
 
 	view     atomic.Pointer[view]
 	draining atomic.Bool
+	// ownRead is the instant at which the last read of the store began that was answered.
+	ownRead atomic.Int64
 	// stopBy is when a stop in progress cuts what isn't finished.
 	stopBy atomic.Pointer[time.Time]
 	active atomic.Int64
@@ -192,7 +194,7 @@
 	}
 	if v != nil {
 		s.Revision = v.rules.Version()
-		s.Ready = !s.Draining && v.fresh(p.settings.KeyTerm)
+		s.Ready = !s.Draining && v.fresh(p.settings.KeyTerm) && p.connected()
 	}
 	return s
 }
