place, agent: prompts are read in the order of their deadlines (a failed try)

Change: the agent lets its engine have two prompts at once and orders the others by deadline. Ruled out: that the turns cost time (the engine always has a second prompt).

--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -71,7 +71,7 @@
 	ledger  *place.Ledger
 	stages  *stages.Stages
 	waiting map[string]chan place.Outcome
-	backlog int64
+	reads   place.Reads
 	report  calls.EngineReport
 	// reported is when the engine last answered.
 	reported time.Time
@@ -170,7 +170,9 @@
 func (g *Grants) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tell(g.ledger.Tick(time.Now()))
+	now := time.Now()
+	g.tell(g.ledger.Tick(now))
+	g.tell(g.reads.Tick(now))
 }
 
 // tell passes outcomes on to those who wait. The lock is held.
@@ -202,7 +204,7 @@
 		Waiting:     int32(s.Waiting),
 		Room:        s.Room,
 		AgainMicros: s.Wait.Microseconds(),
-		Backlog:     g.backlog,
+		Backlog:     g.reads.Backlog(),
 		Memory:      s.Memory,
 		Slots:       int32(s.Slots),
 	}
