--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -71,7 +71,7 @@
 	ledger  *place.Ledger
 	stages  *stages.Stages
 	waiting map[string]chan place.Outcome
-	reads   place.Reads
+	backlog int64
 	report  calls.EngineReport
 	// reported is when the engine last answered.
 	reported time.Time
@@ -170,9 +170,7 @@
 func (g *Grants) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
-	g.tell(g.ledger.Tick(now))
-	g.tell(g.reads.Tick(now))
+	g.tell(g.ledger.Tick(time.Now()))
 }
 
 // tell passes outcomes on to those who wait. The lock is held.
@@ -204,7 +202,7 @@
 		Waiting:     int32(s.Waiting),
 		Room:        s.Room,
 		AgainMicros: s.Wait.Microseconds(),
-		Backlog:     g.reads.Backlog(),
+		Backlog:     g.backlog,
 		Memory:      s.Memory,
 		Slots:       int32(s.Slots),
 	}
--- a/agent/grants/hold.go
+++ b/agent/grants/hold.go
@@ -8,17 +8,20 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Hold reserves a place, or a turn to have a prompt read, for as long as the entry keeps
-// the stream open, so that it is freed on every way out, also that of an entry's death.
+// Hold reserves a place for as long as the entry keeps the stream open, so that a place
+// is freed on every way out, also that of an entry's death.
 func (g *Grants) Hold(s wire.DRPCMesh_HoldStream) error {
 	q, err := s.Recv()
 	if err != nil {
 		return err
 	}
+	if q.Prefill {
+		return g.holdPrefill(s, q)
+	}
 	c := make(chan place.Outcome, 1)
 	began := time.Now()
 	g.open(q, c)
-	defer g.release(q, c)
+	defer g.release(q.Request, c)
 	var o place.Outcome
 	select {
 	case o = <-c:
@@ -53,17 +56,16 @@
 	g.tell(g.ledger.End(time.Now(), request))
 }
 
-// open asks for what the entry wants. The outcome comes on c.
 func (g *Grants) open(q *wire.HoldRequest, c chan place.Outcome) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	defer g.notify()
 	if g.report.Stage != stageOf(q) || !g.sound(now) {
 		c <- place.Outcome{Request: q.Request, Reason: "the engine serves another stage or is silent", Again: now.Add(soundFor)}
 		return
 	}
 	g.waiting[q.Request] = c
+	g.ledger.SetSlots(int(q.Slots))
 	a := place.Ask{
 		Request:  q.Request,
 		Prompt:   q.Prompt,
@@ -74,29 +76,37 @@
 	if q.TimelyMicros > 0 {
 		a.Timely = now.Add(micros(q.TimelyMicros))
 	}
-	if q.Prefill {
-		g.tell(g.reads.Ask(now, a))
-		return
-	}
-	g.ledger.SetSlots(int(q.Slots))
 	g.tell(g.ledger.Ask(now, a))
+	g.notify()
 }
 
-// release ends what an entry has unless another stream has taken the request's name
-// meanwhile.
-func (g *Grants) release(q *wire.HoldRequest, c chan place.Outcome) {
-	now := time.Now()
+// release ends a place unless another stream has taken the request's name meanwhile.
+func (g *Grants) release(request string, c chan place.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if w := g.waiting[q.Request]; w != nil && w != c {
+	if w := g.waiting[request]; w != nil && w != c {
 		return
 	}
-	delete(g.waiting, q.Request)
-	if q.Prefill {
-		g.tell(g.reads.Release(now, q.Request))
-	} else {
-		g.tell(g.ledger.Release(now, q.Request))
+	delete(g.waiting, request)
+	g.tell(g.ledger.Release(time.Now(), request))
+	g.notify()
+}
+
+// holdPrefill counts a prompt as backlog while it is read.
+func (g *Grants) holdPrefill(s wire.DRPCMesh_HoldStream, q *wire.HoldRequest) error {
+	g.add(q.Prompt)
+	defer g.add(-q.Prompt)
+	if err := s.Send(&wire.HoldReply{Granted: true}); err != nil {
+		return err
 	}
+	wait(s)
+	return nil
+}
+
+func (g *Grants) add(tokens int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.backlog += tokens
 	g.notify()
 }
 
@@ -135,7 +145,7 @@
 	age := time.Since(g.reported)
 	g.mu.Unlock()
 	g.log.WithFields(logrus.Fields{
-		"event": "place", "request": q.Request, "prompt": q.Prompt, "most": q.Most, "prefill": q.Prefill, "granted": o.Granted,
+		"event": "place", "request": q.Request, "prompt": q.Prompt, "most": q.Most, "granted": o.Granted,
 		"reason": o.Reason, "waited-ms": waited.Milliseconds(), "running": s.Running, "waiting": s.Waiting,
 		"room": s.Room, "report-age-ms": age.Milliseconds(),
 	}).Info("place")
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -30,8 +30,6 @@
 	workspace *rules.Workspace
 	// tokens were taken from the workspace's limit.
 	tokens int64
-	// timely is when a stream's prompt must have been read for its answer to begin in time.
-	timely time.Time
 	// arrivals and prefills count the sends that may have reached an upstream.
 	arrivals int
 	prefills int
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -212,7 +212,6 @@
 		p.mu.Unlock()
 	}()
 	timely, patience := p.times(x, read)
-	x.timely = timely.Add(read)
 	x.note.slack = time.Until(timely)
 	q := &wire.HoldRequest{
 		Request:        x.call.ID,
@@ -313,7 +312,7 @@
 	return h, false
 }
 
-// holdPrefill waits for the prompt's turn at the engine that reads it.
+// holdPrefill counts a prompt at the engine that reads it, here and at its agent.
 func (p *Proxy) holdPrefill(x *exchange, s spot) (release func()) {
 	n := x.call.Prompt
 	if s.follower == nil {
@@ -329,15 +328,7 @@
 	p.mu.Lock()
 	s.follower.reading += n
 	p.mu.Unlock()
-	q := &wire.HoldRequest{
-		Request:        x.call.ID,
-		Prompt:         n,
-		Priority:       int32(p.priority(x)),
-		TimelyMicros:   max(0, time.Until(x.timely)).Microseconds(),
-		PatienceMicros: x.left().Microseconds(),
-		Instance:       s.up.Instance,
-		Prefill:        true,
-	}
+	q := &wire.HoldRequest{Request: x.call.ID, Prompt: n, Prefill: true, PatienceMicros: x.left().Microseconds()}
 	_, end, err := p.hold(x.ctx, s.follower, q)
 	if err != nil {
 		// The agent doesn't know of the prompt; the engine's own queue bounds what follows.
