--- a/admin/main.go
+++ b/admin/main.go
@@ -10,5 +10,5 @@
 )
 
 func main() {
-	os.Exit(cmdln.Main("admin", &oper.Check{}, &oper.Explain{}, &oper.Hash{}, &oper.Status{}, &oper.Timeline{}))
+	os.Exit(cmdln.Main("admin", &oper.Check{}, &oper.Explain{}, &oper.ExplainRequest{}, &oper.Hash{}, &oper.Status{}, &oper.Timeline{}))
 }
