--- a/coord/rules/rules.go
+++ b/coord/rules/rules.go
@@ -14,6 +14,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// maxWeight bounds a weight, so that sums of weights don't overflow.
+const maxWeight = 1 << 20
+
 // Kind says how often a request may run and what its answer is.
 type Kind string
 
@@ -155,6 +158,9 @@
 		if r.services[s.Service] == nil {
 			return eris.Errorf("route %s: service %q is not configured", t.Name, s.Service)
 		}
+		if s.Weight < 0 || s.Weight > maxWeight {
+			return eris.Errorf("route %s: weight %d; one from 0 to %d would be right", t.Name, s.Weight, maxWeight)
+		}
 	}
 	h := strings.ToLower(t.Host)
 	r.byHost[h] = append(r.byHost[h], t)
