--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -113,8 +113,8 @@
 		Service:     s.Service,
 		Incarnation: now.UnixMilli(),
 	}
-	var stopMesh func()
-	g.mesh, stopMesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithRefresh(g.refresh))
+	g.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithRefresh(g.refresh))
+	stopMesh := g.mesh.Start()
 	g.tasks.Go(func() { _ = link.ServeMesh(ctx, l, nil, g) })
 	g.tasks.Go(func() { g.every(reportPeriod, g.ask) })
 	g.tasks.Go(func() { g.every(tickPeriod, g.tick) })
--- a/coord/budget/budget_test.go
+++ b/coord/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sort"
 	"testing"
 	"time"
 )
@@ -42,13 +43,10 @@
 	}
 }
 
-func within(l []time.Time, end time.Time, w time.Duration) (n int) {
-	for _, t := range l {
-		if t.After(end.Add(-w)) && !t.After(end) {
-			n++
-		}
-	}
-	return n
+// within returns how many of some times, in order, lie in the window that ends at end.
+func within(l []time.Time, end time.Time, w time.Duration) int {
+	until := func(t time.Time) int { return sort.Search(len(l), func(i int) bool { return l[i].After(t) }) }
+	return until(end) - until(end.Add(-w))
 }
 
 func TestChargeIsCounted(t *testing.T) {
--- a/coord/mesh/mesh.go
+++ b/coord/mesh/mesh.go
@@ -49,13 +49,11 @@
 // WithChanged calls f after each heartbeat.
 func WithChanged(f func()) Option { return func(m *Mesh) { m.changed = f } }
 
-// New starts the membership of a process and returns it with a function that ends it.
-func New(self *wire.Member, seeds []string, p *link.Pool, l logrus.FieldLogger, opts ...Option) (m *Mesh, stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	m = &Mesh{
+// New returns the membership of a process, which begins with Start.
+func New(self *wire.Member, seeds []string, p *link.Pool, l logrus.FieldLogger, opts ...Option) *Mesh {
+	m := &Mesh{
 		pool:    p,
 		log:     l,
-		ctx:     ctx,
 		members: member.New(self, seeds, uint64(time.Now().UnixNano())),
 		live:    map[string]bool{},
 		refresh: func(*wire.Member) {},
@@ -64,8 +62,15 @@
 	for _, o := range opts {
 		o(m)
 	}
+	return m
+}
+
+// Start begins to exchange with others and returns a function that ends it.
+func (m *Mesh) Start() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.ctx = ctx
 	m.tasks.Go(m.run)
-	return m, func() {
+	return func() {
 		cancel()
 		m.tasks.Close()
 	}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -143,8 +143,8 @@
 		Address:     s.Peers,
 		Incarnation: now.UnixMilli(),
 	}
-	var stopMesh func()
-	p.mesh, stopMesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithRefresh(p.refresh), mesh.WithChanged(p.meet))
+	p.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithRefresh(p.refresh), mesh.WithChanged(p.meet))
+	stopMesh := p.mesh.Start()
 	stopOps := opsrv.Serve(listeners[1], p.metrics.registry, trace.NewLog(s.VM, traceSize), p.Status)
 	p.http = &http.Server{
 		Handler:           p,
