limits: half of the tolerated overage; the second in rank grants half

Change: an owner grants the rate and half of what the settings tolerate beyond it. What this risks, two owners at once, is halved: an entry that stands in for an owner which still counts as live grants half, from a bucket of its own.

--- a/coord/limits/limits.go
+++ b/coord/limits/limits.go
@@ -23,11 +23,14 @@
 )
 
 const (
-	// over is what an owner grants of a rate. What operators tolerate beyond it pays for
-	// streams that come together, and for two owners at once.
-	over = 1.05
+	// overShare is the part of what operators tolerate beyond a rate that an owner grants; the
+	// rest pays for two owners at once.
+	overShare = 0.5
 	// first is the part of the burst that a new bucket holds.
 	first = 0.1
+	// standInShare is the part of a limit that the second in rank grants while the first, which
+	// may be cut off and grant as well, still counts as live.
+	standInShare = 0.5
 	// aloneShare is the part of an equal share that an entry grants without an owner.
 	aloneShare = 0.5
 	// slackShare is the part of the tolerated overdraft that one bucket uses.
@@ -42,15 +45,24 @@
 	Rate float64
 	// Burst is in tokens.
 	Burst float64
-	// Slack is the overdraft in tokens that operators tolerate besides.
+	// Overage is the part of the rate that operators tolerate beyond it.
+	Overage float64
+	// Slack is the overdraft in tokens that they tolerate besides.
 	Slack float64
 	// Version is that of the configuration that the terms stand in.
 	Version uint64
 }
 
 // WithShare returns the terms of one of some entries that grants without an owner.
-func (t Terms) WithShare(entries int) Terms {
-	f := aloneShare / float64(max(1, entries))
+func (t Terms) WithShare(entries int) Terms { return t.withPart(aloneShare / float64(max(1, entries))) }
+
+// WithStandIn returns the terms of an entry that grants in place of the owner.
+func (t Terms) WithStandIn() Terms { return t.withPart(standInShare) }
+
+// earned returns the tokens that a bucket earns in a second.
+func (t Terms) earned() float64 { return t.Rate * (1 + overShare*t.Overage) }
+
+func (t Terms) withPart(f float64) Terms {
 	t.Rate *= f
 	t.Burst *= f
 	t.Slack *= f
@@ -82,7 +94,7 @@
 	need := float64(tokens) - slackShare*b.terms.Slack
 	need = min(max(need, 1), b.terms.Burst)
 	if b.level < need {
-		return false, time.Duration((need - b.level) / (over * b.terms.Rate) * float64(time.Second))
+		return false, time.Duration((need - b.level) / b.terms.earned() * float64(time.Second))
 	}
 	b.level -= float64(tokens)
 	return true, 0
@@ -100,7 +112,7 @@
 	}
 	passed := max(0, now.Sub(b.updated))
 	b.updated = now
-	b.level = min(b.terms.Burst, b.level+over*b.terms.Rate*passed.Seconds())
+	b.level = min(b.terms.Burst, b.level+b.terms.earned()*passed.Seconds())
 	return b
 }
 
--- a/coord/limits/limits_test.go
+++ b/coord/limits/limits_test.go
@@ -13,7 +13,7 @@
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // terms are those of a workspace whose streams are a tenth of its burst.
-var terms = Terms{Rate: 100000, Burst: 100000, Slack: 73000, Version: 1}
+var terms = Terms{Rate: 100000, Burst: 100000, Overage: overage, Slack: 73000, Version: 1}
 
 // What operators tolerate: any window of this length holds no more than the rate and
 // burst, this much more, and the slack.
@@ -131,15 +131,19 @@
 	if alone && now.Sub(since) > notice && !MayOwn(1, len(f.entries)) {
 		f.limits[e] = New()
 	}
-	for _, o := range Owners("w", f.entries)[:2] {
+	for i, o := range Owners("w", f.entries)[:2] {
 		_, away := f.apart[o]
+		terms, bucket := t, "w"
+		if i > 0 {
+			terms, bucket = t.WithStandIn(), "w2"
+		}
 		switch {
 		case o != e && (f.dead[o] || away || alone):
 			continue
 		case o == e && alone && now.Sub(since) > notice && !MayOwn(1, len(f.entries)):
 			continue
 		}
-		ok, _ := f.limits[o].Take(now, "w", t, tokens)
+		ok, _ := f.limits[o].Take(now, bucket, terms, tokens)
 		return ok
 	}
 	ok, _ := f.alone[e].Take(now, "w", t.WithShare(len(f.entries)), tokens)
--- a/entry/proxy/limit.go
+++ b/entry/proxy/limit.go
@@ -79,10 +79,14 @@
 // takeFrom asks the workspace's owners in turn, and decides alone if none answers.
 func (p *Proxy) takeFrom(x *exchange, n int64) (ok bool, wait time.Duration) {
 	q := takeRequest(x.workspace, n, x.note.version)
-	for _, o := range p.owners(x.workspace.Name) {
+	for i, o := range p.owners(x.workspace.Name) {
+		q.StandIn = i > 0
 		if o == p.settings.VM {
 			return p.grant(p.owned(), q, p.terms(q))
 		}
+		if p.silent(o) {
+			continue
+		}
 		r, err := p.ask(x.r.Context(), o, q)
 		if err == nil {
 			return r.Granted, micros(r.WaitMicros)
@@ -100,39 +104,56 @@
 }
 
 func (p *Proxy) terms(q *wire.TakeRequest) limits.Terms {
-	return limits.Terms{
+	t := limits.Terms{
 		Rate:    float64(q.Rate),
 		Burst:   float64(q.Burst),
+		Overage: p.settings.LimitOverage,
 		Slack:   float64(p.settings.LimitSlack),
 		Version: q.Version,
 	}
+	if q.StandIn {
+		return t.WithStandIn()
+	}
+	return t
+}
+
+// bucket returns the name of the bucket that a request draws on. What is granted in place
+// of an owner must not stand in the way once this entry becomes the owner.
+func bucket(q *wire.TakeRequest) string {
+	if q.StandIn {
+		return q.Workspace + " (stand-in)"
+	}
+	return q.Workspace
 }
 
 func (p *Proxy) grant(l *limits.Limits, q *wire.TakeRequest, t limits.Terms) (ok bool, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return l.Take(time.Now(), q.Workspace, t, q.Tokens)
+	return l.Take(time.Now(), bucket(q), t, q.Tokens)
 }
 
 // owners returns the entries to ask for a workspace's tokens, the first in rank first.
 func (p *Proxy) owners(workspace string) []string {
 	names := []string{p.settings.VM}
-	now := time.Now()
-	live := p.mesh.Live(mesh.Entry)
+	for _, m := range p.mesh.Live(mesh.Entry) {
+		names = append(names, m.Name)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.owns {
 		return nil
 	}
-	for _, m := range live {
-		if now.After(p.unreached[m.Name]) {
-			names = append(names, m.Name)
-		}
-	}
 	l := limits.Owners(workspace, names)
 	return l[:min(owners, len(l))]
 }
 
+// silent reports whether an owner lately didn't answer, so that it isn't waited for.
+func (p *Proxy) silent(owner string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.unreached[owner])
+}
+
 // ask takes tokens at another entry.
 func (p *Proxy) ask(ctx context.Context, owner string, q *wire.TakeRequest) (r *wire.TakeReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
@@ -180,7 +201,7 @@
 	x.tokens = 0
 	q := takeRequest(x.workspace, -n, x.note.version)
 	l := p.owners(x.workspace.Name)
-	if len(l) == 0 {
+	if len(l) == 0 || p.silent(l[0]) {
 		return
 	}
 	o := l[0]
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -59,6 +59,8 @@
 	KeyTerm time.Duration
 	// Retries bound the extra sends to a service.
 	Retries budget.Terms
+	// LimitOverage is the part of a rate that operators tolerate beyond it.
+	LimitOverage float64
 	// LimitSlack is the overdraft in tokens that operators tolerate.
 	LimitSlack int64
 	Store      calls.Store
