--- a/entry/proxy/limit.go
+++ b/entry/proxy/limit.go
@@ -21,9 +21,6 @@
 	owners = 2
 	// unreachedTerm is how long an owner that didn't answer isn't asked.
 	unreachedTerm = time.Second
-	// refillShare is the part of the latency target for which a request waits for its
-	// workspace's tokens: one that is refused and comes back is late.
-	refillShare = 0.35
 	// smallRequest is the size in tokens up to which tokens are taken in advance.
 	smallRequest = 500
 	// advanceSize is how many tokens are taken for small requests at once, as a part of a
@@ -48,33 +45,11 @@
 	case x.call.Sized:
 		n = x.call.Prompt + x.call.Most
 	}
-	until := x.arrived.Add(time.Duration(refillShare * float64(x.route.Target)))
-	for {
-		ok, wait := p.take(x, n)
-		if ok {
-			x.tokens = n
-			return nil
-		}
-		again := time.Now().Add(wait)
-		if again.After(until) {
-			return fault.NotRun(fault.OverLimit, "the workspace is over its limit").WithAgain(again)
-		}
-		if !sleep(x.r.Context(), wait) {
-			return fault.NotRun(fault.Cancelled, "the caller left")
-		}
-	}
-}
-
-// sleep waits, and reports false if the context ends before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
+	if ok, wait := p.take(x, n); !ok {
+		return fault.NotRun(fault.OverLimit, "the workspace is over its limit").WithAgain(time.Now().Add(wait))
 	}
+	x.tokens = n
+	return nil
 }
 
 // take takes tokens in advance for small requests, and otherwise those of the request.
