limits, member, agent: what grows with the fleet is computed once or in part

Cause: benchmarks of the new reducers at the planned size: ranking 370 entries for a workspace took 750 µs a request, answering a peer of 1,140 members 643 µs, and each follower of an agent had its state computed anew (507 µs). Change: the first two ranks are found without sorting; members are sampled from an ordered list; an agent computes its state once a change.

--- a/agent/grants/engine.go
+++ b/agent/grants/engine.go
@@ -39,6 +39,7 @@
 	}
 	g.report = r
 	g.reported = now
+	g.told = nil
 	g.tell(g.ledger.Observe(now, r.Place))
 }
 
--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -80,6 +80,8 @@
 	ordered wire.Stage
 	// changed is closed and replaced whenever the state changes.
 	changed chan struct{}
+	// told is the state as computed after the last change; nil if that is still to do.
+	told *wire.PlaceState
 }
 
 // Start runs an agent and returns a function that stops it.
@@ -188,16 +190,22 @@
 
 // notify wakes the followers. The lock is held.
 func (g *Grants) notify() {
+	g.told = nil
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
 
-// state returns what entries are told. The lock is held.
+// state returns what entries are told: many followers share what is computed once. The
+// lock is held.
 func (g *Grants) state() *wire.PlaceState {
+	sound := g.sound(time.Now()) && !g.report.Busy
+	if g.told != nil && g.told.Sound == sound {
+		return g.told
+	}
 	s := g.ledger.State()
-	return &wire.PlaceState{
+	g.told = &wire.PlaceState{
 		Stage:       g.report.Stage,
-		Sound:       g.sound(time.Now()) && !g.report.Busy,
+		Sound:       sound,
 		Running:     int32(s.Running),
 		Waiting:     int32(s.Waiting),
 		Room:        s.Room,
@@ -206,4 +214,5 @@
 		Memory:      s.Memory,
 		Slots:       int32(s.Slots),
 	}
+	return g.told
 }
--- /dev/null
+++ b/coord/limits/bench_test.go
@@ -0,0 +1,40 @@
+package limits
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkTake takes tokens at an owner of many workspaces.
+func BenchmarkTake(b *testing.B) {
+	for _, n := range []int{5, 13000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := New()
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprint("workspace-", i)
+			}
+			now := epoch
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Microsecond)
+				l.Take(now, names[i%n], terms, 200)
+			}
+		})
+	}
+}
+
+// BenchmarkOwners ranks the entries for a workspace.
+func BenchmarkOwners(b *testing.B) {
+	for _, n := range []int{5, 24, 370} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var l []string
+			for i := range n {
+				l = append(l, fmt.Sprint("entry-", i))
+			}
+			for b.Loop() {
+				Owners("workspace", l, 2)
+			}
+		})
+	}
+}
--- a/coord/limits/limits.go
+++ b/coord/limits/limits.go
@@ -128,12 +128,32 @@
 // a whole limit beside those who go on without it.
 func MayOwn(live, recent int) bool { return 2*live > recent }
 
-// Owners returns entries in the order in which they rank for a workspace.
-func Owners(workspace string, entries []string) []string {
-	score := func(e string) uint64 { return xxhash.Sum64String(workspace + "\x00" + e) }
-	return slices.SortedFunc(slices.Values(entries), func(a, b string) int {
-		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a, b))
-	})
+// Owners returns the first few entries in the order in which they rank for a workspace:
+// rendezvous hashing, so that the loss of an entry moves only what it owned.
+func Owners(workspace string, entries []string, few int) []string {
+	type ranked struct {
+		score uint64
+		name  string
+	}
+	worse := func(a, b ranked) int { return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.name, b.name)) }
+	top := make([]ranked, 0, few+1)
+	prefix := xxhash.New()
+	for _, e := range entries {
+		prefix.Reset()
+		_, _ = prefix.WriteString(workspace)
+		_, _ = prefix.WriteString(e)
+		r := ranked{prefix.Sum64(), e}
+		at, _ := slices.BinarySearchFunc(top, r, worse)
+		if at < few {
+			top = slices.Insert(top, at, r)
+			top = top[:min(few, len(top))]
+		}
+	}
+	names := make([]string, len(top))
+	for i, r := range top {
+		names[i] = r.name
+	}
+	return names
 }
 
 type advance struct {
--- a/coord/limits/limits_test.go
+++ b/coord/limits/limits_test.go
@@ -89,8 +89,8 @@
 	all := []string{"a", "b", "c", "d", "e"}
 	for i := range 100 {
 		w := fmt.Sprint(i)
-		before := Owners(w, all)
-		after := Owners(w, []string{"a", "b", "d", "e"})
+		before := Owners(w, all, len(all))
+		after := Owners(w, []string{"a", "b", "d", "e"}, len(all))
 		want := slices.DeleteFunc(slices.Clone(before), func(n string) bool { return n == "c" })
 		if d := cmp.Diff(want, after); d != "" {
 			t.Errorf("%s (-want +got):\n%s", w, d)
@@ -131,7 +131,7 @@
 	if alone && now.Sub(since) > notice && !MayOwn(1, len(f.entries)) {
 		f.limits[e] = New()
 	}
-	for i, o := range Owners("w", f.entries)[:2] {
+	for i, o := range Owners("w", f.entries, 2) {
 		_, away := f.apart[o]
 		terms, bucket := t, "w"
 		if i > 0 {
--- /dev/null
+++ b/coord/member/bench_test.go
@@ -0,0 +1,42 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cranberrypoint.example/coord/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// BenchmarkExchange answers a peer that holds older records of all members, and reports
+// the bytes of an exchange.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{13, 41, 300, 1140} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Unix(1<<30, 0)
+			old, m := fleet(n, now, 1), fleet(n, now, 2)
+			q := old.Request()
+			bytes := 0
+			for b.Loop() {
+				a := m.Answer(now, q)
+				bytes = proto.Size(q) + proto.Size(a)
+			}
+			b.ReportMetric(float64(bytes), "B/exchange")
+		})
+	}
+}
+
+// fleet returns a process that knows n others at a beat.
+func fleet(n int, now time.Time, beat uint64) *Members {
+	m := New(&wire.Member{Name: "self", Role: "entry", Address: "10.0.0.1:8367", Incarnation: 1}, nil, 1)
+	a := &wire.GossipReply{}
+	for i := range n {
+		a.Members = append(a.Members, &wire.Member{
+			Name: fmt.Sprintf("side-dub-a-%d", i), Role: "agent", DataCentre: "dub-a", Address: "10.0.100.100:7500",
+			Upstream: "10.0.100.100:8366", Incarnation: 1774712719002, Beat: beat, Service: "llm", Stage: wire.Stage_STAGE_DECODE,
+		})
+	}
+	m.Take(now, a)
+	return m
+}
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -44,6 +44,8 @@
 	seeds []string
 	rand  *rand.Rand
 	all   map[string]*known
+	// names are those of all, in order.
+	names []string
 	// contact is when a member was last heard itself.
 	contact time.Time
 }
@@ -78,7 +80,7 @@
 	for n, k := range m.all {
 		switch {
 		case now.Sub(k.advanced) > forget:
-			delete(m.all, n)
+			m.forget(n)
 		case m.live(now, k):
 			live = append(live, k.record.Address)
 		}
@@ -93,6 +95,13 @@
 	return targets
 }
 
+func (m *Members) forget(name string) {
+	delete(m.all, name)
+	if i, ok := slices.BinarySearch(m.names, name); ok {
+		m.names = slices.Delete(m.names, i, i+1)
+	}
+}
+
 // seed returns a random seed that isn't the process itself.
 func (m *Members) seed() string {
 	others := slices.DeleteFunc(slices.Clone(m.seeds), func(a string) bool { return a == m.self.Address })
@@ -116,18 +125,17 @@
 	return q
 }
 
-// sample returns the names of up to MaxRecords members.
+// sample returns the names of up to MaxRecords members, from a random one on.
 func (m *Members) sample() []string {
-	names := make([]string, 0, len(m.all))
-	for n := range m.all {
-		names = append(names, n)
+	n := len(m.names)
+	if n <= MaxRecords {
+		return m.names
 	}
-	slices.Sort(names)
-	if len(names) > MaxRecords {
-		m.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-		names = names[:MaxRecords]
+	from := m.rand.IntN(n)
+	if from+MaxRecords <= n {
+		return m.names[from : from+MaxRecords]
 	}
-	return names
+	return slices.Concat(m.names[from:], m.names[:from+MaxRecords-n])
 }
 
 // Answer takes in a peer's request and returns the records that the peer lacks.
@@ -177,6 +185,10 @@
 	if k != nil && !newer(r, k.record.Incarnation, k.record.Beat) {
 		return
 	}
+	if k == nil {
+		i, _ := slices.BinarySearch(m.names, r.Name)
+		m.names = slices.Insert(m.names, i, r.Name)
+	}
 	m.all[r.Name] = &known{r, now}
 }
 
--- a/entry/proxy/limit.go
+++ b/entry/proxy/limit.go
@@ -143,8 +143,7 @@
 	if !p.owns {
 		return nil
 	}
-	l := limits.Owners(workspace, names)
-	return l[:min(owners, len(l))]
+	return limits.Owners(workspace, names, owners)
 }
 
 // silent reports whether an owner lately didn't answer, so that it isn't waited for.
