digest, entry: the list of upstreams is shared by its changes; a start doesn't overrun the store

Change: entries tell each other what changed since a list that is named by a hash; an entry that isn't a reader makes a call that costs a tenth; one that starts and isn't a seed asks the seeds first for 1.5 s; pauses after failures double and are drawn.

--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -13,6 +13,7 @@
 
 	"cranberrypoint.example/coord/budget"
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/digest"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/limits"
 	"cranberrypoint.example/coord/link"
@@ -86,14 +87,16 @@
 
 	view     atomic.Pointer[view]
 	draining atomic.Bool
-	// ownRead is the instant at which the last read of the store began that was answered.
-	ownRead atomic.Int64
+	// reached is the instant at which the last call to the store began that was answered.
+	reached atomic.Int64
 	// stopBy is when a stop in progress cuts what isn't finished.
 	stopBy atomic.Pointer[time.Time]
 	active atomic.Int64
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	// book is the list of upstreams as it was last listed.
+	book   *digest.Book
 	picker *picker.Picker
 	// limits are the buckets that this entry owns; alone are those of its own.
 	limits   *limits.Limits
@@ -128,6 +131,7 @@
 		ctx:       ctx,
 		born:      now,
 		roster:    roster.New(),
+		book:      digest.New(),
 		picker:    picker.New(s.DataCentre, uint64(now.UnixNano())),
 		limits:    limits.New(),
 		alone:     limits.New(),
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -17,17 +17,16 @@
 // view is what an entry knows from the store. It is immutable.
 type view struct {
 	rules *rules.Rules
-	// listed holds the upstreams as they were listed.
-	listed []roster.Upstream
 	// services holds the upstreams of each service that may get new work.
 	services map[string][]roster.Upstream
 	// asked is when the read began that returned the rules: they were in force then.
 	asked clock.Instant
 	// revision is that of the store.
 	revision uint64
-	// hash names the content, which is encoded in JSON.
-	hash    uint64
-	content []byte
+	// hash names the list of upstreams.
+	hash uint64
+	// config is the configuration in JSON, as other entries are told.
+	config []byte
 }
 
 // fresh reports whether the view is young enough to prove that a key is granted. A term
@@ -66,7 +65,8 @@
 			"event": "adopted", "version": r.Version(), "revision": l.Revision, "age-ms": clock.Now().Sub(asked).Milliseconds(),
 		}).Info("configuration")
 	}
-	n := &view{rules: r, listed: l.Upstreams, services: map[string][]roster.Upstream{}, asked: asked, revision: l.Revision}
+	p.book.Set(l.Upstreams)
+	n := &view{rules: r, services: map[string][]roster.Upstream{}, asked: asked, revision: l.Revision, hash: p.book.Hash()}
 	for _, u := range p.roster.Usable() {
 		n.services[u.Service] = append(n.services[u.Service], u)
 	}
--- a/entry/proxy/watch.go
+++ b/entry/proxy/watch.go
@@ -2,21 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/clock"
-	"cranberrypoint.example/coord/fault"
-	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
-	"cranberrypoint.example/coord/roster"
-	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
-	"github.com/cespare/xxhash/v2"
-	"github.com/rotisserie/eris"
 )
 
 const (
@@ -24,49 +16,31 @@
 	listPeriod = 450 * time.Millisecond
 	// listTimeout bounds a read; a silent connection takes that long to be noticed.
 	listTimeout = 800 * time.Millisecond
-	// peerTimeout bounds the answer of another entry.
-	peerTimeout = 250 * time.Millisecond
-	// listRetry is the pause after a look that brought nothing.
-	listRetry = 150 * time.Millisecond
+	// firstRetry and maxRetry bound the pause after looks that brought nothing; it doubles,
+	// and is drawn at random so that a fleet doesn't come back together.
+	firstRetry = 150 * time.Millisecond
+	maxRetry   = time.Second
 	// readers is the number of entries that read the store while it answers; the others
 	// ask these. Each call to the store costs, and their number mustn't grow with the fleet.
 	readers = 2
-	// ownPeriod is the time after which every entry reads the store itself: it must know
-	// whether it can.
-	ownPeriod = 1300 * time.Millisecond
-	// staleAge is the age above which what another entry knows is not enough.
-	staleAge = 900 * time.Millisecond
+	// reachPeriod is the time after which an entry that doesn't read the store looks whether
+	// it could.
+	reachPeriod = 1300 * time.Millisecond
+	// seedTerm is how long an entry that starts asks only the entries to begin from, if it
+	// isn't one of them: a fleet that starts at once would overrun the store's rate.
+	seedTerm = 1500 * time.Millisecond
 )
 
-// content is what entries tell each other of the store.
-type content struct {
-	Config    rules.Config
-	Upstreams []roster.Upstream
-}
-
-// errOlder means that another entry knows nothing newer.
-var errOlder = eris.New("the other entry knows nothing newer")
-
-// encode prepares what other entries are told; the old view's is taken if it is the same.
-func (v *view) encode(old *view) error {
-	if old != nil && old.rules == v.rules && slices.Equal(old.listed, v.listed) {
-		v.hash, v.content = old.hash, old.content
-		return nil
-	}
-	b, err := json.Marshal(content{v.rules.Config(), v.listed})
-	if err != nil {
-		return err
-	}
-	v.hash, v.content = xxhash.Sum64(b), b
-	return nil
-}
-
 // watch looks for what is new until the entry ends.
 func (p *Proxy) watch() {
+	retry := firstRetry
 	for p.ctx.Err() == nil {
 		pause := listPeriod
 		if err := p.look(); err != nil {
-			pause = listRetry
+			pause = retry/2 + rand.N(retry)
+			retry = min(maxRetry, 2*retry)
+		} else {
+			retry = firstRetry
 		}
 		select {
 		case <-time.After(pause):
@@ -78,13 +52,19 @@
 // look learns what the store holds: a reader from the store and in need from another
 // entry, the others the other way round.
 func (p *Proxy) look() error {
+	if p.view.Load() == nil && time.Since(p.born) < seedTerm && !slices.Contains(p.settings.Seeds, p.settings.Peers) {
+		return p.learn(p.seed())
+	}
 	peers := p.readers()
-	if peers == nil || p.sinceRead() > ownPeriod {
+	if peers == nil {
 		if err := p.list(); err == nil {
 			return nil
 		}
 		return p.learn(p.anyone())
 	}
+	if p.sinceReached() > reachPeriod {
+		p.tasks.Go(p.reach)
+	}
 	if err := p.learn(peers[rand.IntN(len(peers))]); err == nil {
 		return nil
 	}
@@ -94,14 +74,17 @@
 	return p.learn(p.anyone())
 }
 
-// sinceRead returns the time since this entry's own last read of the store began.
-func (p *Proxy) sinceRead() time.Duration { return clock.Now().Sub(clock.Instant(p.ownRead.Load())) }
+// sinceReached returns the time since this entry's last call to the store began that was
+// answered.
+func (p *Proxy) sinceReached() time.Duration {
+	return clock.Now().Sub(clock.Instant(p.reached.Load()))
+}
 
-// connected reports whether this entry reads the store itself. One that doesn't goes on
+// connected reports whether this entry reaches the store itself. One that doesn't goes on
 // with what others tell it, but callers are better off elsewhere.
 func (p *Proxy) connected() bool {
 	t := p.settings.KeyTerm
-	return t <= 0 || p.sinceRead() < t/2
+	return t <= 0 || p.sinceReached() < t/2
 }
 
 // readers returns the entries that read the store, or nil if this one does.
@@ -118,7 +101,7 @@
 	return l
 }
 
-// anyone returns a live entry, or nil.
+// anyone returns the address of a live entry, or nothing.
 func (p *Proxy) anyone() *wire.Member {
 	live := p.mesh.Live(mesh.Entry)
 	if len(live) == 0 {
@@ -127,6 +110,16 @@
 	return live[rand.IntN(len(live))]
 }
 
+// seed returns one of the entries to begin from.
+func (p *Proxy) seed() *wire.Member {
+	s := p.settings.Seeds
+	if len(s) == 0 {
+		return nil
+	}
+	a := s[rand.IntN(len(s))]
+	return &wire.Member{Name: a, Address: a}
+}
+
 // list reads the store once and puts what it holds in force.
 func (p *Proxy) list() error {
 	ctx, cancel := context.WithTimeout(p.ctx, listTimeout)
@@ -138,11 +131,22 @@
 		return err
 	}
 	p.metrics.lists.Inc()
-	p.ownRead.Store(int64(asked))
-	p.storeAnswered(l.Revision)
+	p.storeAnswered(asked)
 	return p.adopt(l, asked)
 }
 
+// reach makes a cheap call to the store.
+func (p *Proxy) reach() {
+	ctx, cancel := context.WithTimeout(p.ctx, listTimeout)
+	defer cancel()
+	asked := clock.Now()
+	if err := p.settings.Store.Reach(ctx); err != nil {
+		p.storeFailed(err)
+		return
+	}
+	p.storeAnswered(asked)
+}
+
 func (p *Proxy) storeFailed(err error) {
 	p.metrics.listErrors.Inc()
 	p.mu.Lock()
@@ -154,87 +158,13 @@
 	}
 }
 
-func (p *Proxy) storeAnswered(revision uint64) {
+func (p *Proxy) storeAnswered(asked clock.Instant) {
+	p.reached.Store(int64(asked))
 	p.mu.Lock()
 	back := p.storeLost
 	p.storeLost = false
 	p.mu.Unlock()
 	if back {
-		p.log.WithField("event", "store-back").WithField("revision", revision).Info("store")
-	}
-}
-
-// learn takes over what another entry knows from the store, if it is fresh. Its age counts
-// from when this entry asked, so that no clock is compared and no delay makes it younger.
-func (p *Proxy) learn(m *wire.Member) (err error) {
-	if m == nil {
-		return errOlder
-	}
-	defer fault.Annotate(&err, "learn from %s", m.Name)
-	old := p.view.Load()
-	q := &wire.ListRequest{}
-	if old != nil {
-		q.Hash = old.hash
-	}
-	sent := clock.Now()
-	ctx, cancel := context.WithTimeout(p.ctx, peerTimeout)
-	defer cancel()
-	a, err := link.Call(ctx, p.links, m.Address, link.List, q)
-	if err != nil {
-		return err
-	}
-	age := micros(a.AgeMicros)
-	asked := sent.Add(-age)
-	if !a.Known || age > staleAge && (old == nil || asked <= old.asked) {
-		return errOlder
-	}
-	l, err := p.listing(old, a)
-	if err != nil {
-		return err
-	}
-	p.metrics.learned.Inc()
-	if err := p.adopt(l, asked); err != nil {
-		return err
-	}
-	if age > staleAge {
-		// It is newer than what was known, but someone should read the store.
-		return errOlder
-	}
-	return nil
-}
-
-// listing returns what another entry told; the old view's content if it is the same.
-func (p *Proxy) listing(old *view, a *wire.ListReply) (l calls.Listing, err error) {
-	l.Revision = a.Revision
-	if len(a.Content) == 0 {
-		if old == nil || a.Hash != old.hash {
-			return l, errOlder
-		}
-		l.Rules, l.Upstreams = old.rules, old.listed
-		return l, nil
-	}
-	var c content
-	if err := json.Unmarshal(a.Content, &c); err != nil {
-		return l, err
-	}
-	l.Upstreams = c.Upstreams
-	if old != nil && old.rules.Version() == c.Config.Version {
-		l.Rules = old.rules
-		return l, nil
-	}
-	l.Rules, err = rules.New(c.Config)
-	return l, err
-}
-
-// List tells another entry what this one knows from the store.
-func (p *Proxy) List(_ context.Context, q *wire.ListRequest) (*wire.ListReply, error) {
-	v := p.view.Load()
-	if v == nil {
-		return &wire.ListReply{}, nil
-	}
-	a := &wire.ListReply{Known: true, AgeMicros: v.age().Microseconds(), Revision: v.revision, Hash: v.hash}
-	if q.Hash != v.hash {
-		a.Content = v.content
+		p.log.WithField("event", "store-back").Info("store")
 	}
-	return a, nil
 }
