--- a/coord/fake/path.go
+++ b/coord/fake/path.go
@@ -55,18 +55,6 @@
 	serial  router.ID
 }
 
-type agentNode struct {
-	vm      fleet.VM
-	life    uint64
-	worker  *worker.Worker
-	streams map[worker.StreamID]*entryStream
-	serial  worker.StreamID
-	// answers hold what to do with the answers to Cancel.
-	answers map[uint64]func(wire.Ran)
-	asks    uint64
-	slots   int
-}
-
 // Path is the whole path of requests inside a Net: entries and agents as reducers,
 // with upstreams, callers and holders of limits as fakes.
 type Path struct {
@@ -101,40 +89,6 @@
 	}
 }
 
-// AddAgents starts agents and their upstreams, and publishes the list.
-func (p *Path) AddAgents(vms []fleet.VM, slots int) {
-	for _, v := range vms {
-		p.Upstreams[v.Name] = newUpstream(p.Net)
-		p.agents[v.Name] = &agentNode{vm: v, slots: slots}
-		if v.Stage == fleet.Prefill {
-			p.agents[v.Name].slots = 1
-		}
-	}
-	p.List = fleet.NewList(1, vms)
-	for _, n := range slices.Sorted(maps.Keys(p.agents)) {
-		p.StartAgent(n)
-	}
-}
-
-// StartAgent starts an agent, or starts it again with nothing kept.
-func (p *Path) StartAgent(name string) {
-	a := p.agents[name]
-	for _, s := range a.streams {
-		p.breakStream(s)
-	}
-	p.Restart(name)
-	a.life = p.Life(name)
-	a.worker = worker.New(p.Now(), a.life+1, worker.WithSlots(a.slots))
-	a.streams = map[worker.StreamID]*entryStream{}
-	a.answers = map[uint64]func(wire.Ran){}
-	p.stepAgent(a, worker.Configured{Tree: p.Tree})
-	p.every(pathTick, name, func() { p.stepAgent(a, worker.Ticked{}) })
-	p.every(sweepPeriod, name, func() {
-		held := slices.Sorted(maps.Keys(p.Upstreams[name].Held))
-		p.stepAgent(a, worker.HeldListed{Names: held})
-	})
-}
-
 // StartEntry starts an entry, or starts it again. Its callers of before are lost.
 func (p *Path) StartEntry(name string) {
 	// What a dead entry has reserved counts as used when its time is over.
@@ -424,84 +378,3 @@
 	})
 	p.After(CallTimeout, func() { done(wire.Ran_RAN_UNKNOWN, errTimeout) })
 }
-
-func (p *Path) stepAgent(a *agentNode, v worker.Event) {
-	for _, x := range a.worker.Step(p.Now(), v) {
-		p.agentEffect(a, x)
-	}
-}
-
-func (p *Path) agentEffect(a *agentNode, x worker.Effect) {
-	name, life := a.vm.Name, a.life
-	u := p.Upstreams[name]
-	switch x := x.(type) {
-	case worker.Send:
-		if s := a.streams[x.Stream]; s != nil {
-			p.toEntry(s, x.Reply)
-		}
-	case worker.Close:
-		if s := a.streams[x.Stream]; s != nil {
-			delete(a.streams, x.Stream)
-			p.closeStream(s)
-		}
-	case worker.StartCall:
-		u.call(x, p.exports, func(v worker.Event) {
-			p.Do(name, life, func() { p.stepAgent(a, v) })
-		})
-	case worker.AbortCall:
-		u.cancel(x.Run.String())
-	case worker.FreeHeld:
-		u.cancel(x.Name)
-	case worker.AnswerCancel:
-		a.answers[x.Ask](x.Ran)
-		delete(a.answers, x.Ask)
-	case worker.Trace:
-		p.log(name, x.Event)
-	}
-}
-
-// closeStream ends a stream in good order: messages before the end still arrive.
-func (p *Path) closeStream(s *entryStream) {
-	e := p.entries[s.entry]
-	life := p.Life(s.entry)
-	s.send(toEntry, life, func() {
-		s.closed = true
-		for _, f := range sortedRefs(e.streams) {
-			if e.streams[f] == s {
-				p.lose(e, f, s)
-			}
-		}
-	})
-}
-
-func (p *Path) toEntry(s *entryStream, m *wire.RunReply) {
-	e := p.entries[s.entry]
-	s.send(toEntry, p.Life(s.entry), func() {
-		for _, f := range sortedRefs(e.streams) {
-			if e.streams[f] == s {
-				s.heard = p.Now()
-				p.reply(e, f, s, m)
-				return
-			}
-		}
-	})
-}
-
-func (p *Path) reply(e *entryNode, f router.Ref, s *entryStream, m *wire.RunReply) {
-	switch k := m.Kind.(type) {
-	case *wire.RunReply_Granted:
-		p.stepEntry(e, router.RunGranted{Ref: f, Incarnation: k.Granted.Incarnation})
-	case *wire.RunReply_Head:
-		p.stepEntry(e, router.RunHead{Ref: f, Head: k.Head})
-	case *wire.RunReply_Data:
-		p.stepEntry(e, router.RunData{Ref: f, Data: k.Data})
-	case *wire.RunReply_Done:
-		p.stepEntry(e, router.RunDone{Ref: f, Done: k.Done})
-		if e.streams[f] == s {
-			delete(e.streams, f)
-		}
-	case *wire.RunReply_Fail:
-		delete(e.streams, f)
-		p.stepEntry(e, router.RunFailed{Ref: f, Err: &fault.Error{Code: fault.Code(k.Fail.Code), Text: k.Fail.Text, Ran: k.Fail.Ran}})
-	}
-}
--- a/coord/spread/spread.go
+++ b/coord/spread/spread.go
@@ -17,7 +17,6 @@
 
 	"cranberrypoint.example/coord/fleet"
 	"cranberrypoint.example/coord/quota"
-	"cranberrypoint.example/coord/tree"
 	"cranberrypoint.example/coord/wire"
 )
 
@@ -47,87 +46,6 @@
 	peerPatience = 3 * time.Second
 )
 
-// Event is an input of the reducer.
-type Event interface{ event() }
-
-// Ticked lets time pass.
-type Ticked struct{}
-
-// ReadAnswered is the platform's answer to a Read effect.
-type ReadAnswered struct {
-	Revision uint64
-	Changes  []*wire.Change
-	// More says that the answer is cut off at Revision.
-	More bool
-	Err  error
-}
-
-// Asked is an exchange that a peer began.
-type Asked struct {
-	// Ask names the question in the effect that answers it.
-	Ask    uint64
-	Digest *wire.Digest
-}
-
-// Answered is a peer's answer to an Exchange effect; Digest is nil when it failed.
-type Answered struct {
-	Address string
-	Digest  *wire.Digest
-	At      time.Time
-}
-
-func (Ticked) event()       {}
-func (ReadAnswered) event() {}
-func (Asked) event()        {}
-func (Answered) event()     {}
-
-// Effect is an output of the reducer.
-type Effect interface{ effect() }
-
-// Read asks the platform for what is newer than a revision.
-type Read struct {
-	After uint64
-	// Watch holds the read until something is new or WatchWait is over.
-	Watch bool
-}
-
-// Exchange sends a digest to a peer.
-type Exchange struct {
-	Address string
-	Digest  *wire.Digest
-	// At is the time of the question, which comes back in Answered.
-	At time.Time
-}
-
-// Authorized says until when the VM may act on the list it adopted, and before which
-// epoch nobody acts any more.
-type Authorized struct {
-	Until  time.Time
-	Sealed uint64
-}
-
-// Answer answers an Asked event.
-type Answer struct {
-	Ask    uint64
-	Digest *wire.Digest
-}
-
-// Adopt puts a tree and a list in force.
-type Adopt struct {
-	Tree *tree.Tree
-	List *fleet.List
-}
-
-// Reject says that the newest settings don't check and the last good ones stay.
-type Reject struct{ Err error }
-
-func (Read) effect()       {}
-func (Exchange) effect()   {}
-func (Answer) effect()     {}
-func (Adopt) effect()      {}
-func (Reject) effect()     {}
-func (Authorized) effect() {}
-
 // Spread is the state of one process. Use New.
 type Spread struct {
 	vm          string
