--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -22,9 +22,13 @@
 // errNoProof means that a success lacks what shows that it is the upstream's own.
 var errNoProof = eris.New("the answer can't be the upstream's")
 
-// send sends the request to an upstream and reads the head of the answer. It counts the
-// outcome, unless the answer goes on to be relayed.
+// send sends the request to an upstream and reads the head of the answer, if the
+// configuration in force still lets it run there. It counts the outcome, unless the answer
+// goes on to be relayed.
 func (p *Proxy) send(x *exchange, u roster.Upstream, s calls.Send, purpose string) (*upconn.Response, calls.Answer, error) {
+	if e := p.allowed(x); e != nil {
+		return nil, calls.Answer{}, &upconn.Error{Err: e}
+	}
 	h := x.r.Header.Clone()
 	hops.Strip(h)
 	s.Instance = u.Instance
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -90,11 +90,6 @@
 		p.timedOut(x, x.ctx.Err())
 		return true
 	}
-	if e := p.allowed(x); e != nil {
-		free()
-		p.fail(x, e)
-		return true
-	}
 	if !p.mayArrive(x, x.arrivals) {
 		free()
 		p.fail(x, notRun(fullStreamAgain, "the retry budget is spent"))
