entry: a safe call leaves time for another upstream when one hangs

Change: while another attempt may follow, an upstream has 0.4 of the time that is left, and two latency targets at least, to begin its answer.

--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -14,6 +15,11 @@
 const (
 	// dials is the number of upstreams that are tried when connections can't be opened.
 	dials = 4
+	// attemptTargets is how many latency targets an attempt may take at least, and
+	// attemptShare which part of the time that is left, while another may follow it: an
+	// upstream that hangs answers nobody.
+	attemptTargets = 2.0
+	attemptShare   = 0.4
 	// fullAgain is when to come back after all upstreams were full or gone.
 	fullAgain = 300 * time.Millisecond
 )
@@ -48,7 +54,11 @@
 
 // callAt sends a plain call to an upstream. It reports false if another may be tried.
 func (p *Proxy) callAt(x *exchange, u roster.Upstream) (done bool, err error) {
-	a, n, err := p.send(x, u, calls.Send{}, "call")
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	silent := time.AfterFunc(p.attemptTime(x), cancel)
+	a, n, err := p.send(ctx, x, u, calls.Send{}, "call")
+	silent.Stop()
 	if err == nil || maybeSent(err) {
 		x.arrivals++
 	}
@@ -76,6 +86,16 @@
 	return true, nil
 }
 
+// attemptTime returns how long an upstream may take to begin its answer: all the time that
+// is left, unless another attempt may follow.
+func (p *Proxy) attemptTime(x *exchange) time.Duration {
+	left := x.left()
+	if x.route.Once() || x.arrivals+1 >= x.route.MaxAttempts {
+		return left
+	}
+	return max(time.Duration(attemptTargets*float64(x.route.Target)), time.Duration(attemptShare*float64(left)))
+}
+
 // repeat sends a call whose upstream failed to another one. The failure is passed on if
 // there is none: it is an answer.
 func (p *Proxy) repeat(x *exchange, u roster.Upstream, a *upconn.Response, n calls.Answer) (done bool, err error) {
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -25,7 +26,7 @@
 // send sends the request to an upstream and reads the head of the answer, if the
 // configuration in force still lets it run there. It counts the outcome, unless the answer
 // goes on to be relayed.
-func (p *Proxy) send(x *exchange, u roster.Upstream, s calls.Send, purpose string) (*upconn.Response, calls.Answer, error) {
+func (p *Proxy) send(ctx context.Context, x *exchange, u roster.Upstream, s calls.Send, purpose string) (*upconn.Response, calls.Answer, error) {
 	if e := p.allowed(x); e != nil {
 		return nil, calls.Answer{}, &upconn.Error{Err: e}
 	}
@@ -39,7 +40,7 @@
 	p.mu.Lock()
 	p.picker.Sent(u.Instance)
 	p.mu.Unlock()
-	a, err := p.conns.Do(x.ctx, u.Address, &upconn.Request{
+	a, err := p.conns.Do(ctx, u.Address, &upconn.Request{
 		Method: x.r.Method,
 		Target: x.r.RequestURI,
 		Host:   x.r.Host,
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -121,7 +121,7 @@
 
 // decode sends the request to the engine of a place.
 func (p *Proxy) decode(x *exchange, t ticket, source string) (a *upconn.Response, n calls.Answer, err error) {
-	a, n, err = p.send(x, t.spot.up, calls.Send{Source: source}, "decode")
+	a, n, err = p.send(x.ctx, x, t.spot.up, calls.Send{Source: source}, "decode")
 	if err == nil || maybeSent(err) {
 		x.arrivals++
 	}
@@ -264,7 +264,7 @@
 	release := p.holdPrefill(x, s)
 	defer release()
 	began := time.Now()
-	a, n, err := p.send(x, s.up, calls.Send{Prefill: true}, "prefill")
+	a, n, err := p.send(x.ctx, x, s.up, calls.Send{Prefill: true}, "prefill")
 	if err == nil || maybeSent(err) {
 		x.prefills++
 	}
