entry, agent, picker: an engine that is gone costs no prompt

Ten streams had their prompt read three times: their agents went on granting places for a second after the engine had crashed, each connection was refused, and each new place had the prompt read anew. Ruled out: handles that lapse (5 of 67 prompts). Change: the KV cache of a prompt is used for the next place while the engine keeps it; an agent whose engine refuses connections grants nothing more at once; an upstream that refuses a connection is left out at once.

--- a/agent/grants/engine.go
+++ b/agent/grants/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -24,10 +25,7 @@
 	defer g.mu.Unlock()
 	was := g.sound(now)
 	if err != nil {
-		g.log.WithField("event", "engine-silent").WithField("since", g.reported).WithError(err).Debug("engine")
-		if !was {
-			g.notify()
-		}
+		g.silent(was, err)
 		return
 	}
 	if !was {
@@ -43,6 +41,19 @@
 	g.tell(g.ledger.Observe(now, r.Place))
 }
 
+// silent deals with a report that didn't come. An engine that refuses connections is gone;
+// one that is late may be busy. The lock is held.
+func (g *Grants) silent(was bool, err error) {
+	var e *upconn.Error
+	if errors.As(err, &e) && !e.Sent && !errors.Is(err, context.DeadlineExceeded) {
+		g.reported = time.Time{}
+	}
+	if was && !g.sound(time.Now()) {
+		g.log.WithField("event", "engine-silent").WithError(err).Warn("engine")
+		g.notify()
+	}
+}
+
 func (g *Grants) read() (r calls.EngineReport, err error) {
 	defer fault.Annotate(&err, "report of %s", g.settings.Upstream)
 	status, body, err := g.call(http.MethodGet, g.settings.Codec.ReportPath(), nil)
--- a/coord/picker/picker.go
+++ b/coord/picker/picker.go
@@ -49,6 +49,8 @@
 	Refused
 	// Lost calls got no answer.
 	Lost
+	// Unreached calls found nobody at the upstream's address.
+	Unreached
 	// Gone calls found another process at the upstream's address.
 	Gone
 	// Abandoned calls ended for a reason that isn't the upstream's.
@@ -143,8 +145,12 @@
 	case Gone:
 		s.until = now.Add(goneBan)
 		return
-	case Lost:
+	case Lost, Unreached:
 		s.lost++
+		if r == Unreached {
+			// A connection that is refused needs no second sign.
+			s.lost = max(s.lost, lostInRow)
+		}
 		if s.lost >= lostInRow {
 			s.ban = min(maxBan, max(firstBan, 2*s.ban))
 			s.until = now.Add(s.ban)
@@ -154,7 +160,7 @@
 		s.ban = 0
 	}
 	bad := 0.0
-	if r == Failed || r == Lost {
+	if r == Failed || r == Lost || r == Unreached {
 		bad = 1
 	}
 	s.failures += smooth * (bad - s.failures)
--- a/coord/picker/picker_test.go
+++ b/coord/picker/picker_test.go
@@ -114,3 +114,12 @@
 		t.Error("an upstream at whose address another answered is picked")
 	}
 }
+
+func TestUnreachedIsLeftOutAtOnce(t *testing.T) {
+	p := New("home", 1)
+	p.Sent("a")
+	p.Ended(epoch, "a", Unreached, nil)
+	if !p.Out(epoch, "a") || p.Out(epoch.Add(firstBan), "a") {
+		t.Error("an upstream that refuses connections isn't left out for a short time")
+	}
+}
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -30,6 +30,8 @@
 	workspace *rules.Workspace
 	// tokens were taken from the workspace's limit.
 	tokens int64
+	// read is the prompt's KV cache, while it may be there.
+	read read
 	// arrivals and prefills count the sends that may have reached an upstream.
 	arrivals int
 	prefills int
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -50,7 +50,7 @@
 		Mine:   func(status int, h http.Header) bool { return p.codec.Mine(status, h, x.call.ID) },
 	})
 	if err != nil {
-		p.ended(x, u, lost(x), nil, purpose)
+		p.ended(x, u, lostOr(x, err), nil, purpose)
 		return nil, calls.Answer{}, err
 	}
 	n := p.codec.Answer(a.Status, a.Header)
@@ -70,6 +70,14 @@
 	return picker.Lost
 }
 
+// lostOr tells besides that nobody was reached.
+func lostOr(x *exchange, err error) picker.Result {
+	if r := lost(x); r != picker.Lost || maybeSent(err) {
+		return r
+	}
+	return picker.Unreached
+}
+
 // ended counts the end of a send.
 func (p *Proxy) ended(x *exchange, u roster.Upstream, r picker.Result, l *calls.Load, purpose string) {
 	p.metrics.sends.WithLabelValues(purpose, resultNames[r]).Inc()
@@ -79,7 +87,7 @@
 }
 
 var resultNames = map[picker.Result]string{
-	picker.Good: "good", picker.Failed: "failed", picker.Refused: "refused", picker.Lost: "lost", picker.Gone: "gone", picker.Abandoned: "abandoned",
+	picker.Good: "good", picker.Failed: "failed", picker.Refused: "refused", picker.Lost: "lost", picker.Unreached: "unreached", picker.Gone: "gone", picker.Abandoned: "abandoned",
 }
 
 // maybeSent reports whether a failed send may have reached the upstream.
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -28,6 +28,8 @@
 	placeTries = 2
 	// runTries is the number of engines that are tried after refusals.
 	runTries = 3
+	// holdShare is the part of the time for which engines keep a KV cache in which it is tried.
+	holdShare = 0.7
 	// fullStreamAgain is when to come back if nothing tells when a place is likely.
 	fullStreamAgain = time.Second
 	// leastAgain is the shortest wait that a refused caller is told.
@@ -36,6 +38,14 @@
 	maxHandle = 64 << 10
 )
 
+// read is a prompt whose KV cache is kept by the engine that read it.
+type read struct {
+	source string
+	// until is when the engine may have dropped it.
+	until time.Time
+	free  func()
+}
+
 // ticket is a granted place.
 type ticket struct {
 	spot    spot
@@ -66,6 +76,9 @@
 			return
 		}
 	}
+	if x.read.source != "" {
+		x.read.free()
+	}
 	p.fail(x, notRun(fullStreamAgain, "the engines refused the run"))
 }
 
@@ -84,17 +97,20 @@
 // and may be tried at another engine.
 func (p *Proxy) runAt(x *exchange, t ticket) (done bool) {
 	defer func() { t.release(x.note.outcome == outcomeAnswered) }()
-	source, free := p.prefill(x, t)
+	if x.read.source == "" || time.Now().After(x.read.until) {
+		x.read = p.prefill(x, t)
+	}
 	if x.ctx.Err() != nil {
-		free()
+		x.read.free()
 		p.timedOut(x, x.ctx.Err())
 		return true
 	}
 	if !p.mayArrive(x, x.arrivals) {
-		free()
+		x.read.free()
 		p.fail(x, notRun(fullStreamAgain, "the retry budget is spent"))
 		return true
 	}
+	source := x.read.source
 	a, n, err := p.decode(x, t, source)
 	if err == nil && n.NotRun && source != "" && p.mayArrive(x, x.arrivals) {
 		// The KV cache is gone: the engine that has the place reads the prompt itself.
@@ -103,11 +119,14 @@
 		a, n, err = p.decode(x, t, "")
 	}
 	if err != nil {
-		return p.lostRun(x, err, free)
+		return p.lostRun(x, err)
 	}
 	if n.NotRun || n.OtherInstance {
 		_ = a.Body.Close()
 		p.ended(x, t.spot.up, refusal(n), n.Load, "decode")
+		if !n.OtherInstance {
+			x.read = read{}
+		}
 		return false
 	}
 	x.sent = true
@@ -128,12 +147,12 @@
 	return a, n, err
 }
 
-// lostRun deals with a send without an answer.
-func (p *Proxy) lostRun(x *exchange, err error, free func()) (done bool) {
+// lostRun deals with a send without an answer. Where nobody got it, the KV cache is still
+// there for another engine.
+func (p *Proxy) lostRun(x *exchange, err error) (done bool) {
 	if maybeSent(err) {
 		x.sent = true
-	} else {
-		free()
+		x.read = read{}
 	}
 	if p.over(x, err) {
 		return true
@@ -249,16 +268,15 @@
 }
 
 // prefill has the prompt read by an engine of its own. It returns where the KV cache is,
-// or nothing if the engine of the answer should read the prompt itself; free gives an
-// unused KV cache back.
-func (p *Proxy) prefill(x *exchange, t ticket) (source string, free func()) {
-	free = func() {}
+// or nothing if the engine of the answer should read the prompt itself.
+func (p *Proxy) prefill(x *exchange, t ticket) (r read) {
+	r.free = func() {}
 	s, backlog, ok := p.prefillSpot(x, map[string]bool{t.spot.up.Instance: true})
 	if !ok {
-		return "", free
+		return r
 	}
 	if !p.mayArrive(x, x.prefills) {
-		return "", free
+		return r
 	}
 	x.note.prefill = s.up.Instance
 	release := p.holdPrefill(x, s)
@@ -270,18 +288,20 @@
 	}
 	if err != nil {
 		x.note.cause = "prefill: " + err.Error()
-		return "", free
+		return r
 	}
 	h, ok := p.readHandle(x, s, a, n)
 	if !ok {
-		return "", free
+		return r
 	}
 	x.note.read = time.Since(began)
 	p.mu.Lock()
 	p.engines.learnRead(backlog+x.call.Prompt, x.note.read)
 	p.mu.Unlock()
-	free = func() { p.tasks.Go(func() { p.free(s, h) }) }
-	return p.codec.Source(s.up.Address, h), free
+	r.source = p.codec.Source(s.up.Address, h)
+	r.until = time.Now().Add(time.Duration(holdShare * float64(x.service.Engine.HoldTime)))
+	r.free = func() { p.tasks.Go(func() { p.free(s, h) }) }
+	return r
 }
 
 // readHandle reads the answer to a prefill.
