entry: the strongest read the store; a reader that is cut off holds nobody up

Change: readers are the entries with the largest processor share; each call to the store has its own time limit; a non-reader asks both readers, then reads the store once what it knows is 0.8 to 1.3 s old. Test: a reader with old content; failed before.

--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -54,6 +54,8 @@
 	Ops string
 	// Peers is the address of the drpc server.
 	Peers string
+	// Capacity is the processor share of this VM in thousandths.
+	Capacity int32
 	// Seeds are addresses of members to begin from.
 	Seeds []string
 	// KeyTerm is how long a configuration that was read proves that a key is granted.
@@ -145,6 +147,7 @@
 	self := &wire.Member{
 		Name:        s.VM,
 		Role:        mesh.Entry,
+		Capacity:    s.Capacity,
 		DataCentre:  s.DataCentre,
 		Address:     s.Peers,
 		Incarnation: now.UnixMilli(),
--- a/entry/proxy/watch.go
+++ b/entry/proxy/watch.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -14,8 +15,15 @@
 const (
 	// listPeriod is the time between two looks for what is new.
 	listPeriod = 450 * time.Millisecond
-	// listTimeout bounds a read; a silent connection takes that long to be noticed.
-	listTimeout = 800 * time.Millisecond
+	// listTimeout bounds a read of all pages.
+	listTimeout = 3 * time.Second
+	// reachTimeout bounds a single call.
+	reachTimeout = 800 * time.Millisecond
+	// listAge is the age of what is known from which on an entry that isn't a reader reads the
+	// store, later by up to listSpread: not all of a fleet at once, and all in time for what
+	// must be in force within two seconds.
+	listAge    = 800 * time.Millisecond
+	listSpread = 500 * time.Millisecond
 	// firstRetry and maxRetry bound the pause after looks that brought nothing; it doubles,
 	// and is drawn at random so that a fleet doesn't come back together.
 	firstRetry = 150 * time.Millisecond
@@ -36,11 +44,14 @@
 	retry := firstRetry
 	for p.ctx.Err() == nil {
 		pause := listPeriod
-		if err := p.look(); err != nil {
+		switch err := p.look(); {
+		case err == nil:
+			retry = firstRetry
+		case p.known():
+			pause = firstRetry
+		default:
 			pause = retry/2 + rand.N(retry)
 			retry = min(maxRetry, 2*retry)
-		} else {
-			retry = firstRetry
 		}
 		select {
 		case <-time.After(pause):
@@ -49,6 +60,12 @@
 	}
 }
 
+// known reports whether the entry knows a configuration that is young enough.
+func (p *Proxy) known() bool {
+	v := p.view.Load()
+	return v != nil && v.fresh(p.settings.KeyTerm)
+}
+
 // look learns what the store holds: a reader from the store and in need from another
 // entry, the others the other way round.
 func (p *Proxy) look() error {
@@ -65,8 +82,14 @@
 	if p.sinceReached() > reachPeriod {
 		p.tasks.Go(p.reach)
 	}
-	if err := p.learn(peers[rand.IntN(len(peers))]); err == nil {
-		return nil
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, m := range peers {
+		if p.learn(m) == nil {
+			return nil
+		}
+	}
+	if v := p.view.Load(); v != nil && v.age() < listAge+rand.N(listSpread) {
+		return errOlder
 	}
 	if err := p.list(); err == nil {
 		return nil
@@ -87,15 +110,16 @@
 	return t <= 0 || p.sinceReached() < t/2
 }
 
-// readers returns the entries that read the store, or nil if this one does.
-func (p *Proxy) readers() (l []*wire.Member) {
-	live := p.mesh.Live(mesh.Entry)
-	for _, m := range live[:min(readers, len(live))] {
-		if m.Name < p.settings.VM {
-			l = append(l, m)
-		}
-	}
-	if len(l) < readers {
+// readers returns the entries that read the store, or nil if this one does: the strongest,
+// since the whole list passes through their links.
+func (p *Proxy) readers() []*wire.Member {
+	self := p.mesh.Self()
+	l := append(p.mesh.Live(mesh.Entry), self)
+	slices.SortFunc(l, func(a, b *wire.Member) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
+	})
+	l = l[:min(readers, len(l))]
+	if slices.Contains(l, self) {
 		return nil
 	}
 	return l
@@ -137,7 +161,7 @@
 
 // reach makes a cheap call to the store.
 func (p *Proxy) reach() {
-	ctx, cancel := context.WithTimeout(p.ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, reachTimeout)
 	defer cancel()
 	asked := clock.Now()
 	if err := p.settings.Store.Reach(ctx); err != nil {
--- /dev/null
+++ b/entry/proxy/watch_test.go
@@ -0,0 +1,146 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/clock"
+	"cranberrypoint.example/coord/digest"
+	"cranberrypoint.example/coord/link"
+	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/rules"
+	"cranberrypoint.example/coord/wire"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+)
+
+// reader is an entry that tells a version of the configuration of some age.
+type reader struct {
+	wire.DRPCMeshUnimplementedServer
+	t       *testing.T
+	version uint64
+	age     time.Duration
+}
+
+func (r *reader) List(context.Context, *wire.ListRequest) (*wire.ListReply, error) {
+	c, err := json.Marshal(rules.Config{Version: r.version})
+	if err != nil {
+		return nil, err
+	}
+	d, err := json.Marshal(digest.Delta{})
+	return &wire.ListReply{Known: true, AgeMicros: r.age.Microseconds(), Revision: r.version, Config: c, Delta: d}, err
+}
+
+// serve starts the reader and returns its address.
+func (r *reader) serve(ctx context.Context) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	go func() { _ = link.ServeMesh(ctx, l, nil, r) }()
+	return l.Addr().String()
+}
+
+type noStore struct{}
+
+var errNoStore = errors.New("no store")
+
+func (noStore) List(context.Context) (calls.Listing, error) { return calls.Listing{}, errNoStore }
+func (noStore) Reach(context.Context) error                 { return errNoStore }
+
+// watcher returns an entry that isn't a reader, and knows those at some addresses.
+func watcher(ctx context.Context, t *testing.T, addresses ...string) *Proxy {
+	log, _ := logtest.NewNullLogger()
+	links, stop := link.NewPool(nil, link.WithPing(mesh.Ping))
+	t.Cleanup(stop)
+	p := &Proxy{
+		settings: Settings{VM: "z", Store: noStore{}, KeyTerm: 5 * time.Second},
+		log:      log.WithFields(logrus.Fields{}),
+		metrics:  newMetrics(),
+		links:    links,
+		ctx:      ctx,
+		roster:   roster.New(),
+		book:     digest.New(),
+		mesh:     mesh.New(&wire.Member{Name: "z", Role: mesh.Entry}, nil, links, log),
+	}
+	for i, a := range addresses {
+		m := &wire.Member{Name: string(rune('a' + i)), Role: mesh.Entry, Address: a, Incarnation: 1, Beat: 1}
+		if _, err := p.mesh.Gossip(ctx, &wire.GossipRequest{Self: m}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return p
+}
+
+// TestReaderThatIsCutOffDoesntHoldUp replays a reader that tells what it read before it was
+// cut off, beside one that goes on: one look must be enough for the newer version.
+func TestReaderThatIsCutOffDoesntHoldUp(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	old := &reader{t: t, version: 7, age: 1500 * time.Millisecond}
+	fresh := &reader{t: t, version: 9, age: 100 * time.Millisecond}
+	for range 8 {
+		p := watcher(ctx, t, old.serve(ctx), fresh.serve(ctx))
+		now := clock.Now()
+		before := calls.Listing{Rules: mustRules(t, 7), Revision: 7}
+		if err := p.adopt(before, now.Add(-time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.look(); err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(uint64(9), p.view.Load().rules.Version()); d != "" {
+			t.Fatalf("version in force (-want +got):\n%s", d)
+		}
+	}
+}
+
+func mustRules(t *testing.T, version uint64) *rules.Rules {
+	r, err := rules.New(rules.Config{Version: version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestNeverBack tells older listings after a newer one, by revision, by version and by age.
+func TestNeverBack(t *testing.T) {
+	p := watcher(context.Background(), t)
+	now := clock.Now()
+	steps := []struct {
+		version, revision uint64
+		asked             clock.Instant
+		want              uint64
+	}{
+		{5, 10, now, 5},
+		{7, 12, now.Add(time.Second), 7},
+		{5, 11, now.Add(2 * time.Second), 7},
+		{9, 13, now, 7},
+		{5, 14, now.Add(3 * time.Second), 7},
+		{9, 15, now.Add(4 * time.Second), 9},
+	}
+	for _, s := range steps {
+		if err := p.adopt(calls.Listing{Rules: mustRules(t, s.version), Revision: s.revision}, s.asked); err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(s.want, p.view.Load().rules.Version()); d != "" {
+			t.Errorf("after %+v (-want +got):\n%s", s, d)
+		}
+	}
+}
+
+// TestKeyTerm holds a view to its term less the margin; a term of 0 has no end.
+func TestKeyTerm(t *testing.T) {
+	v := &view{asked: clock.Now().Add(-2 * time.Second)}
+	got := []bool{v.fresh(5 * time.Second), v.fresh(2*time.Second + termMargin/2), v.fresh(0)}
+	if d := cmp.Diff([]bool{true, false, true}, got); d != "" {
+		t.Errorf("fresh (-want +got):\n%s", d)
+	}
+}
