member: in a fleet whose records don't fit into a message nobody live is missed

Cause: the new test of 120 processes: a message carries 60 records, so news of one process comes each 1.6 s on average and not within 3 s often enough; 2 of 120 counted as dead at any time. Ruled out: 30 records a message (worse), random against turning samples (no difference). Change: samples take turns; above 60 members the time after which one is missed grows with them; a record is dropped after three such times (one that was dropped at the first came back from others as new, for ever).

--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -19,13 +19,17 @@
 const (
 	// Period is the time between two heartbeats and exchanges.
 	Period = 400 * time.Millisecond
-	// silence is the time without a new beat after which a member counts as dead.
-	silence = 3 * time.Second
-	// forget is the time without a new beat after which its record is dropped.
-	forget = 10 * time.Second
-	// MaxRecords bounds the records in a message, so that the size of an exchange doesn't
+	// leastSilence is the time without a new beat after which a member counts as dead, in a fleet
+	// whose records all fit into a message.
+	leastSilence = 3 * time.Second
+	// forgetFactor is how many silences pass until a record is dropped. Others tell of it no
+	// more by then; one that was dropped earlier would come back as new.
+	forgetFactor = 3
+	// MaxRecords bounds the records in a message, so that the bytes of an exchange don't
 	// grow with the fleet.
 	MaxRecords = 60
+	// rounds is how often every record must have had its turn before one is missed.
+	rounds = 24
 	// isolation is the time without any exchange after which a process counts as cut off.
 	isolation = 900 * time.Millisecond
 	// seedOdds is one in how many exchanges goes to a seed although members are known:
@@ -46,6 +50,8 @@
 	all   map[string]*known
 	// names are those of all, in order.
 	names []string
+	// turn is where the next sample begins.
+	turn int
 	// contact is when a member was last heard itself.
 	contact time.Time
 }
@@ -79,7 +85,7 @@
 	var live []string
 	for n, k := range m.all {
 		switch {
-		case now.Sub(k.advanced) > forget:
+		case now.Sub(k.advanced) > forgetFactor*m.silence():
 			m.forget(n)
 		case m.live(now, k):
 			live = append(live, k.record.Address)
@@ -112,7 +118,16 @@
 }
 
 func (m *Members) live(now time.Time, k *known) bool {
-	return !k.record.Leaving && now.Sub(k.advanced) <= silence
+	return !k.record.Leaving && now.Sub(k.advanced) <= m.silence()
+}
+
+// silence returns the time without a new beat after which a member counts as dead. A
+// message carries a part of the records of a large fleet, so news comes more seldom there.
+func (m *Members) silence() time.Duration {
+	if len(m.all) <= MaxRecords {
+		return leastSilence
+	}
+	return max(leastSilence, Period*time.Duration(rounds*len(m.all)/MaxRecords))
 }
 
 // Request returns what to send to a peer.
@@ -125,13 +140,14 @@
 	return q
 }
 
-// sample returns the names of up to MaxRecords members, from a random one on.
+// sample returns the names of up to MaxRecords members, all in turn.
 func (m *Members) sample() []string {
 	n := len(m.names)
 	if n <= MaxRecords {
 		return m.names
 	}
-	from := m.rand.IntN(n)
+	from := m.turn % n
+	m.turn = from + MaxRecords
 	if from+MaxRecords <= n {
 		return m.names[from : from+MaxRecords]
 	}
@@ -152,7 +168,7 @@
 	for _, n := range m.sample() {
 		k := m.all[n]
 		s := held[n]
-		if n == q.Self.GetName() || now.Sub(k.advanced) > silence || s != nil && !newer(k.record, s.Incarnation, s.Beat) {
+		if n == q.Self.GetName() || now.Sub(k.advanced) > m.silence() || s != nil && !newer(k.record, s.Incarnation, s.Beat) {
 			continue
 		}
 		a.Members = append(a.Members, proto.CloneOf(k.record))
@@ -209,7 +225,7 @@
 	return len(m.all) > 0 && now.Sub(m.contact) > isolation
 }
 
-// Recent returns the number of members of a role that were heard of within forget,
+// Recent returns the number of members of a role that were heard of lately,
 // dead or alive. It falls slowly, so shares of a limit that are divided by it grow only
 // after the dead can't use theirs any more.
 func (m *Members) Recent(role string) (n int) {
