entry: a stop waits for connections on which a request may be arriving

Ruled out: the hard stop at the end of the grace (4 s later). Shutdown of the standard library: it drops a request that it has just read (the first try; the new test failed with it too). Change: keep-alive ends after the notice, which closes idle connections, and the stop waits until the others are closed, each after its answer. Before and after: the test of a request that arrives in two halves around that moment failed before and passes.

--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -40,7 +40,7 @@
 	// notice is how long after a stop's begin callers may still open connections, until
 	// the balancer has seen that the entry isn't ready.
 	notice = 3 * time.Second
-	// quietPeriod is the time between two looks for the last request during a stop.
+	// quietPeriod is the time between two looks for the last connection during a stop.
 	quietPeriod = 20 * time.Millisecond
 )
 
@@ -94,6 +94,8 @@
 	// stopBy is when a stop in progress cuts what isn't finished.
 	stopBy atomic.Pointer[time.Time]
 	active atomic.Int64
+	// callers is the number of open connections of callers.
+	callers atomic.Int64
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -160,6 +162,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnState:         p.track,
 	}
 	p.tasks.Go(func() { _ = p.http.Serve(listeners[0]) })
 	p.tasks.Go(func() { _ = link.ServeMesh(ctx, listeners[2], nil, p) })
@@ -253,12 +256,24 @@
 	case <-ctx.Done():
 	}
 	// Idle connections are closed only now: until the balancer knew, requests came on them.
+	// The others are waited for, since a request may be arriving; each is closed after its
+	// answer. Shutdown of the standard library would drop a request that it has just read.
 	p.http.SetKeepAlivesEnabled(false)
-	for p.active.Load() > 0 && ctx.Err() == nil {
+	for p.callers.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(quietPeriod)
 	}
 }
 
+// track counts the callers' open connections.
+func (p *Proxy) track(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		p.callers.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		p.callers.Add(-1)
+	}
+}
+
 // ending reports whether a request that may take d would be cut by the entry's stop.
 func (p *Proxy) ending(d time.Duration) bool {
 	t := p.stopBy.Load()
