entry: short prompts tell nothing of an engine's speed

The stage's first streams have 10 tokens; what their sends cost on a loaded machine, some 50 ms, was taken for 5 ms a token, so a prompt of 900 tokens seemed to need longer than its caller waits and was refused as hopeless. Ruled out: a reset of a connection to the killed engine (its server closes them before it returns). Change: fewer than 256 tokens aren't learned from. Test: TestShortPromptsTellNoSpeed, failed before.

--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -12,6 +12,9 @@
 const (
 	// smooth is the weight of a new sample in an average.
 	smooth = 0.1
+	// leastRead is the number of tokens whose reading tells something of an engine's speed;
+	// with fewer, what a send costs is taken for it.
+	leastRead = 256
 	// longRuns is how many average times most answers end within.
 	longRuns = 1.8
 	// firstLongRun stands for that before an answer has ended.
@@ -56,7 +59,7 @@
 
 // learnRead takes in the time in which some tokens were read.
 func (e *engines) learnRead(tokens int64, d time.Duration) {
-	if tokens <= 0 {
+	if tokens < leastRead {
 		return
 	}
 	s := float64(d) / float64(tokens)
