entry, recent: callers that come back are told by the spread of time limits

Cause: an attempt whose time limit lay below the most frequent one of its route was taken for one that had waited before. Ruled out: callers refused before (93 refusals, 59 came back, two kinds of limit in the log of left-ms: none). Change: what is below the middle less twice the distance from the middle to the upper quarter has come back. The samples in order are one container for this and for the lengths of answers. Test: TestLimitsThatVary failed first (766 of 1,600 first attempts taken for late).

--- a/coord/place/lengths.go
+++ b/coord/place/lengths.go
@@ -2,8 +2,8 @@
 
 import (
 	"math/rand/v2"
-	"slices"
-	"sort"
+
+	"cranberrypoint.example/coord/recent"
 )
 
 const (
@@ -19,38 +19,30 @@
 // lengths learns how long answers get, as parts of the longest that was asked for.
 // Callers ask for a generous maximum, so memory up to the maximum would mostly stay free.
 type lengths struct {
-	recent []float64
-	next   int
-	sorted []float64
+	parts *recent.Samples[float64]
 }
 
+func newLengths() lengths { return lengths{recent.New[float64](samples)} }
+
 // learn takes in the length of an ended answer.
-func (l *lengths) learn(length, most int64) {
+func (l lengths) learn(length, most int64) {
 	if most <= 0 || length <= 0 {
 		return
 	}
-	r := min(1, float64(length)/float64(most))
-	if len(l.recent) < samples {
-		l.recent = append(l.recent, r)
-	} else {
-		l.recent[l.next] = r
-		l.next = (l.next + 1) % samples
-	}
-	l.sorted = slices.Sorted(slices.Values(l.recent))
+	l.parts.Add(min(1, float64(length)/float64(most)))
 }
 
 // left returns the tokens that an answer still adds after done of at most most: the
 // quantile u of the answers that were longer than done.
-func (l *lengths) left(done, most int64, u float64) int64 {
-	if len(l.sorted) < leastSamples {
+func (l lengths) left(done, most int64, u float64) int64 {
+	if l.parts.Len() < leastSamples {
 		return max(0, most-done)
 	}
-	from := sort.SearchFloat64s(l.sorted, float64(done+1)/float64(max(1, most)))
-	if from == len(l.sorted) {
+	from := l.parts.Below(float64(done+1) / float64(max(1, most)))
+	if from == l.parts.Len() {
 		return min(max(0, most-done), int64(overtime*float64(most)))
 	}
-	i := from + int(u*float64(len(l.sorted)-from))
-	return max(1, int64(l.sorted[i]*float64(most))-done)
+	return max(1, int64(l.parts.QuantileFrom(from, u)*float64(most))-done)
 }
 
 // futures is the number of drawn futures on which a plan is tried.
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -118,13 +118,14 @@
 func New() *Ledger {
 	r := rand.New(rand.NewPCG(1, 2))
 	return &Ledger{
-		slots:  firstSlots,
-		runs:   map[string]*run{},
-		rand:   r,
-		usual:  newFate(r),
-		step:   firstStep,
-		most:   firstMost,
-		prompt: firstMost,
+		slots:   firstSlots,
+		runs:    map[string]*run{},
+		lengths: newLengths(),
+		rand:    r,
+		usual:   newFate(r),
+		step:    firstStep,
+		most:    firstMost,
+		prompt:  firstMost,
 	}
 }
 
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -223,7 +223,7 @@
 
 // TestLengths covers what is expected of answers before and after some have ended.
 func TestLengths(t *testing.T) {
-	var l lengths
+	l := newLengths()
 	if d := cmp.Diff(int64(90), l.left(10, 100, median)); d != "" {
 		t.Errorf("without samples (-want +got):\n%s", d)
 	}
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -28,9 +28,8 @@
 type engines struct {
 	// perToken is the time in which an engine reads a prompt token; 0 until one was read.
 	perToken float64
-	// usual is the time that most callers of a route wait, by route. A caller that waits
-	// less has waited before.
-	usual map[string]*frequent
+	// returns tell callers that come back, by route.
+	returns map[string]*returns
 	// runTime is the average time of an answer from its place to its end.
 	runTime float64
 	// alone counts the tokens that this entry holds at an instance without its agent.
@@ -38,7 +37,7 @@
 }
 
 func newEngines() *engines {
-	return &engines{usual: map[string]*frequent{}, alone: map[string]int64{}}
+	return &engines{returns: map[string]*returns{}, alone: map[string]int64{}}
 }
 
 // learnRun takes in the time of a whole answer.
@@ -80,13 +79,13 @@
 	if left <= 0 {
 		return 0
 	}
-	f := e.usual[route]
-	if f == nil {
-		f = &frequent{}
-		e.usual[route] = f
+	r := e.returns[route]
+	if r == nil {
+		r = newReturns()
+		e.returns[route] = r
 	}
-	f.add(left)
-	return max(0, f.most()-left)
+	r.add(left)
+	return r.waited(left)
 }
 
 // spot is an engine with what its agent tells, if it is heard.
--- a/entry/proxy/frequent_test.go
+++ b/entry/proxy/returns_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 	for range 500 {
 		e.waited("r", 4*time.Second)
 	}
-	for range 2 * frequentCap {
+	for range 2 * waitSamples {
 		e.waited("r", 14*time.Second)
 	}
 	if d := cmp.Diff(10*time.Second, e.waited("r", 4*time.Second)); d != "" {
@@ -43,6 +44,32 @@
 	}
 }
 
+// TestLimitsThatVary replays callers whose limits are spread over a sixth, of whom some come
+// back after seconds: hardly a first attempt may be taken for late, and those that come back
+// late enough are known.
+func TestLimitsThatVary(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	e := newEngines()
+	var first, late, back, known int
+	for i := range 2000 {
+		limit := time.Duration(11900+r.IntN(2100)) * time.Millisecond
+		if i%5 == 0 {
+			back++
+			if e.waited("r", limit-4*time.Second) > 900*time.Millisecond {
+				known++
+			}
+			continue
+		}
+		first++
+		if e.waited("r", limit) > 200*time.Millisecond {
+			late++
+		}
+	}
+	if late*50 > first || known*10 < back*9 {
+		t.Errorf("%d of %d first attempts are taken for late; %d of %d that came back are known", late, first, known, back)
+	}
+}
+
 // TestShortPromptsTellNoSpeed replays short prompts that took long for the send's sake: a long
 // one must not be taken for hopeless by them.
 func TestShortPromptsTellNoSpeed(t *testing.T) {
