entry: a stop closes no connection on which a request is arriving

Cause: the notice ends after 3 s with SetKeepAlivesEnabled(false), which closes what the standard library's server believes idle. A connection is idle to it until the whole head of a request has been parsed. Ruled out: the upstream (its run ended with our connection), the time limit, the stop's own deadline (7.1 s). Change: the entry's listener knows from when on nothing has come on a connection.

--- /dev/null
+++ b/entry/proxy/callers_test.go
@@ -0,0 +1,92 @@
+package proxy
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestIdleCloseLosesNoRequest sends requests on kept connections while idle ones are closed
+// all the time, as a stop does it at one moment: each request that was taken is answered.
+func TestIdleCloseLosesNoRequest(t *testing.T) {
+	const (
+		clients = 8
+		// rounds is the number of connections that each client sees closed.
+		rounds = 40
+	)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newCallers(l)
+	var taken, answered atomic.Int64
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !c.take(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		taken.Add(1)
+		_, _ = w.Write([]byte("whole"))
+	}))
+	s.Config.ConnState = c.track
+	s.Config.ConnContext = c.context
+	_ = s.Listener.Close()
+	s.Listener = c
+	s.Start()
+	defer s.Close()
+	done := make(chan struct{})
+	var closer, w sync.WaitGroup
+	closer.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				c.closeIdle(time.Now())
+			}
+		}
+	})
+	for range clients {
+		w.Go(func() {
+			for range rounds {
+				answered.Add(askUntilClosed(t, s.Listener.Addr().String()))
+			}
+		})
+	}
+	w.Wait()
+	close(done)
+	closer.Wait()
+	if taken.Load() != answered.Load() {
+		t.Errorf("%d requests were taken, %d answered", taken.Load(), answered.Load())
+	}
+}
+
+// askUntilClosed sends one request after the other on a connection, until that is closed,
+// and returns the number of whole answers.
+func askUntilClosed(t *testing.T, address string) (n int64) {
+	d, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Errorf("connection: %v", err)
+		return 0
+	}
+	defer func() { _ = d.Close() }()
+	b := bufio.NewReader(d)
+	for {
+		if _, err := d.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+			return n
+		}
+		r, err := http.ReadResponse(b, nil)
+		if err != nil {
+			return n
+		}
+		body := make([]byte, len("whole"))
+		if _, err := b.Read(body); err != nil || r.StatusCode != http.StatusOK {
+			return n
+		}
+		n++
+	}
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -37,11 +37,6 @@
 	maxHeader = 64 << 10
 	// traceSize is the number of events in the time line.
 	traceSize = 500
-	// notice is how long after a stop's begin callers may still open connections, until
-	// the balancer has seen that the entry isn't ready.
-	notice = 3 * time.Second
-	// quietPeriod is the time between two looks for the last connection during a stop.
-	quietPeriod = 20 * time.Millisecond
 )
 
 // Settings are those of an entry.
@@ -92,10 +87,9 @@
 	// reached is the instant at which the last call to the store began that was answered.
 	reached atomic.Int64
 	// stopBy is when a stop in progress cuts what isn't finished.
-	stopBy atomic.Pointer[time.Time]
-	active atomic.Int64
-	// callers is the number of open connections of callers.
-	callers atomic.Int64
+	stopBy  atomic.Pointer[time.Time]
+	active  atomic.Int64
+	callers *callers
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -143,6 +137,7 @@
 		budgets:   map[string]*budget.Budget{},
 		followed:  map[string]*follower{},
 		engines:   newEngines(),
+		callers:   newCallers(listeners[0]),
 	}
 	var closeConns func()
 	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc)
@@ -162,9 +157,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
-		ConnState:         p.track,
+		ConnState:         p.callers.track,
+		ConnContext:       p.callers.context,
 	}
-	p.tasks.Go(func() { _ = p.http.Serve(listeners[0]) })
+	p.tasks.Go(func() { _ = p.http.Serve(p.callers) })
 	p.tasks.Go(func() { _ = link.ServeMesh(ctx, listeners[2], nil, p) })
 	p.tasks.Go(p.watch)
 	return p, func() {
@@ -242,40 +238,3 @@
 	}
 	p.owns = owns
 }
-
-// Drain says that the entry isn't ready, serves what still comes for a notice, finishes
-// it, and returns at the latest when the context ends.
-func (p *Proxy) Drain(ctx context.Context) {
-	if d, ok := ctx.Deadline(); ok {
-		p.stopBy.Store(&d)
-	}
-	p.draining.Store(true)
-	p.log.WithField("event", "draining").WithField("active", p.active.Load()).Info("stop")
-	select {
-	case <-time.After(notice):
-	case <-ctx.Done():
-	}
-	// Idle connections are closed only now: until the balancer knew, requests came on them.
-	// The others are waited for, since a request may be arriving; each is closed after its
-	// answer. Shutdown of the standard library would drop a request that it has just read.
-	p.http.SetKeepAlivesEnabled(false)
-	for p.callers.Load() > 0 && ctx.Err() == nil {
-		time.Sleep(quietPeriod)
-	}
-}
-
-// track counts the callers' open connections.
-func (p *Proxy) track(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		p.callers.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		p.callers.Add(-1)
-	}
-}
-
-// ending reports whether a request that may take d would be cut by the entry's stop.
-func (p *Proxy) ending(d time.Duration) bool {
-	t := p.stopBy.Load()
-	return t != nil && time.Until(*t) < d
-}
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -26,6 +26,9 @@
 
 // ServeHTTP answers a caller.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !p.callers.take(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	p.active.Add(1)
 	defer p.active.Add(-1)
 	if p.draining.Load() {
