place, entry, agent: engines of answers read prompts that prefill engines would be late with

Change: where the way over a prefill engine takes more than half of the slack, the engine of the answer reads the prompt, one at a time, at most half of the time beside other answers, and only if that fits into a pause. Its agent grants it (place.Reads); the entry chooses (place.Reading).

--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -72,6 +72,7 @@
 	stages  *stages.Stages
 	waiting map[string]chan place.Outcome
 	backlog int64
+	reads   place.Reads
 	report  calls.EngineReport
 	// reported is when the engine last answered.
 	reported time.Time
--- a/agent/grants/hold.go
+++ b/agent/grants/hold.go
@@ -92,10 +92,12 @@
 	g.notify()
 }
 
-// holdPrefill counts a prompt as backlog while it is read.
+// holdPrefill counts a prompt as backlog while it is read, if the engine may read it.
 func (g *Grants) holdPrefill(s wire.DRPCMesh_HoldStream, q *wire.HoldRequest) error {
-	g.add(q.Prompt)
-	defer g.add(-q.Prompt)
+	if !g.beginRead(q) {
+		return s.Send(&wire.HoldReply{Reason: "another prompt is read beside the answers"})
+	}
+	defer g.endRead(q)
 	if err := s.Send(&wire.HoldReply{Granted: true}); err != nil {
 		return err
 	}
@@ -103,10 +105,24 @@
 	return nil
 }
 
-func (g *Grants) add(tokens int64) {
+// beginRead reports whether the engine may read a prompt now. One that makes answers reads
+// only some, beside the run of the same request.
+func (g *Grants) beginRead(q *wire.HoldRequest) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.report.Stage == wire.Stage_STAGE_DECODE && !g.reads.Begin(time.Now(), q.Request, g.ledger.Running()-1) {
+		return false
+	}
+	g.backlog += q.Prompt
+	g.notify()
+	return true
+}
+
+func (g *Grants) endRead(q *wire.HoldRequest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.backlog += tokens
+	g.reads.End(time.Now(), q.Request)
+	g.backlog -= q.Prompt
 	g.notify()
 }
 
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -305,6 +305,9 @@
 	}
 }
 
+// Running returns the number of runs that have a place.
+func (l *Ledger) Running() int { return len(l.runs) }
+
 // State is what others need to know of the ledger.
 type State struct {
 	Running int
--- /dev/null
+++ b/coord/place/reads.go
@@ -0,0 +1,73 @@
+package place
+
+import "time"
+
+// Reading is what is known when a prompt is about to be read.
+type Reading struct {
+	// Apart is the expected time until a prefill engine has read it, with what waits there.
+	Apart time.Duration
+	// Own is the expected time in which the engine of the answer reads it.
+	Own time.Duration
+	// Slack is the time left in which reading lets the answer begin in time.
+	Slack time.Duration
+	// Pause is the longest pause between events that other answers may have; 0 for any.
+	Pause time.Duration
+}
+
+const (
+	// pauseShare is the part of a pause that the reading of a prompt may take up: the rest
+	// is that between two events anyway.
+	pauseShare = 0.75
+	// apartShare is the part of the slack that the way over a prefill engine may take: what
+	// is left is for prompts that are too long to be read beside other answers.
+	apartShare = 0.5
+)
+
+// ByItself reports whether the engine of an answer should read the prompt itself.
+//
+// It answers prompts that come faster than the prefill engines read them while the engines
+// of answers have places: their backlog would make each answer late. An engine of answers
+// reads more slowly, and its other answers stand still meanwhile, so it does so only where
+// that saves an answer, and makes no other late.
+func (r Reading) ByItself() bool {
+	if r.Apart <= time.Duration(apartShare*float64(r.Slack)) || r.Own > r.Slack {
+		return false
+	}
+	return r.Pause <= 0 || r.Own <= time.Duration(pauseShare*float64(r.Pause))
+}
+
+// Expected returns the time in which the prompt is expected to be read.
+func (r Reading) Expected() time.Duration {
+	if r.ByItself() {
+		return r.Own
+	}
+	return r.Apart
+}
+
+// Reads is the reducer that lets an engine of answers read prompts, one at a time, and
+// for at most half of the time while it makes others' answers. The zero value is ready.
+type Reads struct {
+	request string
+	began   time.Time
+	// free is when the next may begin beside other answers.
+	free time.Time
+}
+
+// Begin reports whether the engine may read the prompt of a request now, beside a number of
+// other answers.
+func (r *Reads) Begin(now time.Time, request string, others int) bool {
+	if r.request != "" || others > 0 && now.Before(r.free) {
+		return false
+	}
+	r.request, r.began = request, now
+	return true
+}
+
+// End ends the reading of a request's prompt, if it is in progress.
+func (r *Reads) End(now time.Time, request string) {
+	if r.request != request {
+		return
+	}
+	r.request = ""
+	r.free = now.Add(now.Sub(r.began))
+}
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -12,9 +12,9 @@
 const (
 	// smooth is the weight of a new sample in an average.
 	smooth = 0.1
-	// leastRead is the number of tokens whose reading tells something of an engine's speed;
-	// with fewer, what a send costs is taken for it.
-	leastRead = 256
+	// ownSlower is how many times longer an engine of answers takes to read a prompt than a
+	// prefill engine, by its published interface, before one was seen.
+	ownSlower = 2
 	// longRuns is how many average times most answers end within.
 	longRuns = 1.8
 	// firstLongRun stands for that before an answer has ended.
@@ -26,8 +26,9 @@
 
 // engines holds what an entry has learned of engines and callers.
 type engines struct {
-	// perToken is the time in which an engine reads a prompt token; 0 until one was read.
-	perToken float64
+	// apart is the speed at which prefill engines read, own that of engines of answers.
+	apart speed
+	own   speed
 	// returns tell callers that come back, by route.
 	returns map[string]*returns
 	// runTime is the average time of an answer from its place to its end.
@@ -56,22 +57,12 @@
 	return time.Duration(longRuns * e.runTime)
 }
 
-// learnRead takes in the time in which some tokens were read.
-func (e *engines) learnRead(tokens int64, d time.Duration) {
-	if tokens < leastRead {
-		return
+// ownTime returns the expected time in which an engine of answers reads some tokens.
+func (e *engines) ownTime(tokens int64) time.Duration {
+	if e.own.perToken == 0 {
+		return ownSlower * e.apart.time(tokens)
 	}
-	s := float64(d) / float64(tokens)
-	if e.perToken == 0 {
-		e.perToken = s
-		return
-	}
-	e.perToken += smooth * (s - e.perToken)
-}
-
-// readTime returns the expected time in which some tokens are read.
-func (e *engines) readTime(tokens int64) time.Duration {
-	return time.Duration(e.perToken * float64(tokens))
+	return e.own.time(tokens)
 }
 
 // waited returns how long a caller has waited before this attempt.
@@ -168,7 +159,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.spots(x.service.Name, wire.Stage_STAGE_PREFILL, tried) {
-		n := p.reading(s)
+		n := p.backlog(s)
 		if !ok || n < backlog {
 			best, backlog, ok = s, n, true
 		}
@@ -176,8 +167,8 @@
 	return best, backlog, ok
 }
 
-// reading returns the prompt tokens that an engine has yet to read.
-func (p *Proxy) reading(s spot) int64 {
+// backlog returns the prompt tokens that an engine has yet to read.
+func (p *Proxy) backlog(s spot) int64 {
 	if s.state == nil {
 		return p.engines.alone[s.up.Instance] * int64(1+p.mesh.Recent(mesh.Entry))
 	}
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -30,8 +30,12 @@
 	workspace *rules.Workspace
 	// tokens were taken from the workspace's limit.
 	tokens int64
+	// timely is until when a stream's prompt must be read for its answer to begin in time.
+	timely time.Time
 	// read is the prompt's KV cache, while it may be there.
 	read read
+	// ownRead ends the reading of the prompt by the engine of the answer; nil without one.
+	ownRead func()
 	// arrivals and prefills count the sends that may have reached an upstream.
 	arrivals int
 	prefills int
@@ -50,6 +54,8 @@
 	sends    int
 	instance string
 	prefill  string
+	// own is true if the engine of the answer was left to read the prompt.
+	own bool
 	// slack is how long a place could be awaited for an answer that begins in time.
 	slack   time.Duration
 	waited  time.Duration
@@ -170,6 +176,9 @@
 			f[k] = v.Milliseconds()
 		}
 	}
+	if n.own {
+		f["own-read"] = true
+	}
 	if n.bytes > 0 {
 		f["bytes"] = n.bytes
 	}
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"io"
-	"net/http"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
@@ -28,31 +26,12 @@
 	placeTries = 2
 	// runTries is the number of engines that are tried after refusals.
 	runTries = 3
-	// holdShare is the part of the time for which engines keep a KV cache in which it is tried.
-	holdShare = 0.7
 	// fullStreamAgain is when to come back if nothing tells when a place is likely.
 	fullStreamAgain = time.Second
 	// leastAgain is the shortest wait that a refused caller is told.
 	leastAgain = 300 * time.Millisecond
-	// maxHandle bounds the answer to a prefill in bytes.
-	maxHandle = 64 << 10
 )
 
-// read is a prompt whose KV cache is kept by the engine that read it.
-type read struct {
-	source string
-	// until is when the engine may have dropped it.
-	until time.Time
-	free  func()
-}
-
-// drop gives a KV cache back that nobody will fetch.
-func (r read) drop() {
-	if r.free != nil {
-		r.free()
-	}
-}
-
 // ticket is a granted place.
 type ticket struct {
 	spot    spot
@@ -67,6 +46,7 @@
 		p.fail(x, e)
 		return
 	}
+	x.timely = p.timely(x)
 	tried := map[string]bool{}
 	for range runTries {
 		if e := p.allowed(x); e != nil {
@@ -104,7 +84,7 @@
 func (p *Proxy) runAt(x *exchange, t ticket) (done bool) {
 	defer func() { t.release(x.note.outcome == outcomeAnswered) }()
 	if x.read.source == "" || time.Now().After(x.read.until) {
-		x.read = p.prefill(x, t)
+		x.read = p.readPrompt(x, t)
 	}
 	if x.ctx.Err() != nil {
 		x.read.drop()
@@ -146,10 +126,15 @@
 
 // decode sends the request to the engine of a place.
 func (p *Proxy) decode(x *exchange, t ticket, source string) (a *upconn.Response, n calls.Answer, err error) {
+	defer x.endOwnRead()
+	began := time.Now()
 	a, n, err = p.send(x.ctx, x, t.spot.up, calls.Send{Source: source}, "decode")
 	if err == nil || maybeSent(err) {
 		x.arrivals++
 	}
+	if err == nil && source == "" && !n.NotRun && !n.OtherInstance {
+		p.readByItself(x, time.Since(began))
+	}
 	return a, n, err
 }
 
@@ -171,12 +156,9 @@
 }
 
 // times returns until when a place lets the answer begin in time, and until when it is of
-// use at all.
+// use at all, if its prompt is read in some time.
 func (p *Proxy) times(x *exchange, read time.Duration) (timely, patience time.Time) {
-	p.mu.Lock()
-	before := p.engines.waited(x.route.Name, x.call.Left)
-	p.mu.Unlock()
-	timely = x.arrived.Add(x.route.Target - before - read - timelyMargin)
+	timely = x.timely.Add(-read)
 	g := max(leastPatience, targetsPatient*x.route.Target, pausesPatient*x.route.Pause)
 	patience = x.arrived.Add(g - read - patienceMargin)
 	if d := x.deadline.Add(-read - patienceMargin); d.Before(patience) {
@@ -224,9 +206,8 @@
 	if s.follower == nil {
 		return p.placeAlone(x, s)
 	}
-	_, backlog, _ := p.prefillSpot(x, nil)
+	read := p.reading(x).Expected()
 	p.mu.Lock()
-	read := p.engines.readTime(backlog + x.call.Prompt)
 	s.follower.asked++
 	p.mu.Unlock()
 	defer func() {
@@ -250,6 +231,14 @@
 	return ticket{s, release}, r, err
 }
 
+// timely returns until when a prompt must be read for the answer to begin in time.
+func (p *Proxy) timely(x *exchange) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.engines.waited(x.route.Name, x.call.Left)
+	return x.arrived.Add(x.route.Target - before - timelyMargin)
+}
+
 func (p *Proxy) priority(x *exchange) int {
 	if x.workspace != nil && x.workspace.Priority != nil {
 		return *x.workspace.Priority
@@ -275,105 +264,3 @@
 	}
 	return ticket{s, release}, &wire.HoldReply{Granted: true}, nil
 }
-
-// prefill has the prompt read by an engine of its own. It returns where the KV cache is,
-// or nothing if the engine of the answer should read the prompt itself.
-func (p *Proxy) prefill(x *exchange, t ticket) (r read) {
-	s, backlog, ok := p.prefillSpot(x, map[string]bool{t.spot.up.Instance: true})
-	if !ok {
-		return r
-	}
-	if !p.mayArrive(x, x.prefills) {
-		return r
-	}
-	x.note.prefill = s.up.Instance
-	release := p.holdPrefill(x, s)
-	defer release()
-	began := time.Now()
-	a, n, err := p.send(x.ctx, x, s.up, calls.Send{Prefill: true}, "prefill")
-	if err == nil || maybeSent(err) {
-		x.prefills++
-	}
-	if err != nil {
-		x.note.cause = "prefill: " + err.Error()
-		return r
-	}
-	h, ok := p.readHandle(x, s, a, n)
-	if !ok {
-		return r
-	}
-	x.note.read = time.Since(began)
-	p.mu.Lock()
-	p.engines.learnRead(backlog+x.call.Prompt, x.note.read)
-	p.mu.Unlock()
-	r.source = p.codec.Source(s.up.Address, h)
-	r.until = time.Now().Add(time.Duration(holdShare * float64(x.service.Engine.HoldTime)))
-	r.free = func() { p.tasks.Go(func() { p.free(s, h) }) }
-	return r
-}
-
-// readHandle reads the answer to a prefill.
-func (p *Proxy) readHandle(x *exchange, s spot, a *upconn.Response, n calls.Answer) (h calls.Handle, ok bool) {
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxHandle))
-	_ = a.Body.Close()
-	if err == nil && a.Status == http.StatusOK {
-		h, err = p.codec.Handle(b)
-	}
-	switch {
-	case err != nil:
-		x.note.cause = "prefill: " + err.Error()
-		p.ended(x, s.up, lost(x), n.Load, "prefill")
-	case n.NotRun || n.OtherInstance:
-		p.ended(x, s.up, refusal(n), n.Load, "prefill")
-		p.charge(x)
-	case a.Status != http.StatusOK:
-		p.ended(x, s.up, picker.Failed, n.Load, "prefill")
-	default:
-		p.ended(x, s.up, picker.Good, n.Load, "prefill")
-		return h, true
-	}
-	return h, false
-}
-
-// holdPrefill counts a prompt at the engine that reads it, here and at its agent.
-func (p *Proxy) holdPrefill(x *exchange, s spot) (release func()) {
-	n := x.call.Prompt
-	if s.follower == nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.engines.alone[s.up.Instance] += n
-		return func() {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.engines.alone[s.up.Instance] -= n
-		}
-	}
-	p.mu.Lock()
-	s.follower.reading += n
-	p.mu.Unlock()
-	q := &wire.HoldRequest{Request: x.call.ID, Prompt: n, Prefill: true, PatienceMicros: x.left().Microseconds()}
-	_, end, err := p.hold(x.ctx, s.follower, q)
-	if err != nil {
-		// The agent doesn't know of the prompt; the engine's own queue bounds what follows.
-		p.log.WithField("event", "backlog-untold").WithField("request", x.call.ID).WithError(err).Debug("place")
-		end = func(bool) {}
-	}
-	return func() {
-		end(false)
-		p.mu.Lock()
-		s.follower.reading -= n
-		p.mu.Unlock()
-	}
-}
-
-// free gives back a KV cache that nobody will fetch.
-func (p *Proxy) free(s spot, h calls.Handle) {
-	method, path := p.codec.Free(h)
-	a, err := p.conns.Do(p.ctx, s.up.Address, &upconn.Request{Method: method, Target: path, Host: s.up.Address, Header: http.Header{}})
-	if err != nil {
-		p.log.WithField("event", "free-failed").WithField("instance", s.up.Instance).WithError(err).Warn("engine")
-		return
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxHandle))
-	_ = a.Body.Close()
-}
