entry, fault: callers are held to the configuration's bounds; no failure without an answer

Left from before: the bounds of the configuration on heads, on the time for a head and on idle connections were constants of the entry, and callers who are slow or whose requests can be read in two ways had no tests. Found by those tests: a body that doesn't come in time ended with a 200 of the standard library's server without a body, since the context of its request ends too and nothing was written then (TestSlowCallersAreCut: status 200); a request with a length and chunks was read by its chunks, and what followed ran as the next request. Change: the entry's listener closes overdue connections; heads above the bound get 431, late bodies 408, a length beside chunks 400; a failure is always written. The statuses of faults are one list for both doors. Found beside: tests took ports from the range of outgoing connections, and one was taken between choice and use (listen: address already in use, once, beside other load).

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 lint:
 	gofmt -l admin agent coord entry local platform
-	for m in admin agent coord entry local platform; do (cd $$m && go vet ./... && go tool staticcheck ./...) || exit 1; done
+	for m in admin agent coord entry local platform platform/soak; do (cd $$m && go vet ./... && go tool staticcheck ./...) || exit 1; done
 
 generate:
 	cd coord/wire && go generate
--- a/coord/fault/fault.go
+++ b/coord/fault/fault.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"cranberrypoint.example/coord/wire"
@@ -19,6 +20,8 @@
 	BadKey        Code = "invalid_api_key"
 	NoRoute       Code = "route_not_found"
 	TooLarge      Code = "request_too_large"
+	HeadTooLarge  Code = "request_head_too_large"
+	TooSlow       Code = "request_timeout"
 	OverLimit     Code = "rate_limit_exceeded"
 	Overloaded    Code = "overloaded"
 	TooLate       Code = "deadline_exceeded"
@@ -32,6 +35,34 @@
 	NotReady      Code = "not_ready"
 )
 
+// Status returns the HTTP status of a code. Those of refusals promise that the request
+// didn't run and never will.
+func (c Code) Status() int {
+	switch c {
+	case BadRequest:
+		return http.StatusBadRequest
+	case BadKey:
+		return http.StatusUnauthorized
+	case NoRoute:
+		return http.StatusNotFound
+	case TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case HeadTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case TooSlow:
+		return http.StatusRequestTimeout
+	case OverLimit:
+		return http.StatusTooManyRequests
+	case Duplicate:
+		return http.StatusConflict
+	case UpstreamError, Unclear:
+		return http.StatusBadGateway
+	case TooLate:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
 // Error is a refusal or failure of one request.
 type Error struct {
 	Code Code
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -6,7 +6,6 @@
 package roster
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -113,9 +112,6 @@
 	return true
 }
 
-// All returns a copy of the known upstreams by instance.
-func (r *Roster) All() map[string]Upstream { return maps.Clone(r.all) }
-
 // Usable returns the upstreams that may get new work. Of several instances at one
 // address only the newest can be there: entries of earlier lives lapse late.
 func (r *Roster) Usable() (l []Upstream) {
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -294,29 +294,6 @@
 		s := math.Ceil(time.Until(err.Again).Seconds())
 		h.Set("Retry-After", strconv.Itoa(max(int(s), 1)))
 	}
-	w.WriteHeader(status(err.Code))
+	w.WriteHeader(err.Code.Status())
 	_ = json.NewEncoder(w).Encode(oai.ErrorOf(err))
 }
-
-func status(c fault.Code) int {
-	switch c {
-	case fault.BadRequest:
-		return http.StatusBadRequest
-	case fault.BadKey:
-		return http.StatusUnauthorized
-	case fault.NoRoute:
-		return http.StatusNotFound
-	case fault.TooLarge:
-		return http.StatusRequestEntityTooLarge
-	case fault.OverLimit:
-		return http.StatusTooManyRequests
-	case fault.Duplicate:
-		return http.StatusConflict
-	case fault.UpstreamError, fault.Unclear:
-		return http.StatusBadGateway
-	case fault.TooLate:
-		return http.StatusGatewayTimeout
-	default:
-		return http.StatusServiceUnavailable
-	}
-}
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -92,32 +92,10 @@
 	return x.workspace.Name
 }
 
-// statuses of the faults that this door tells. Those of requests that didn't run and
-// never will are promises.
-func status(c fault.Code) int {
-	switch c {
-	case fault.BadRequest:
-		return http.StatusBadRequest
-	case fault.BadKey:
-		return http.StatusUnauthorized
-	case fault.NoRoute:
-		return http.StatusNotFound
-	case fault.TooLarge:
-		return http.StatusRequestEntityTooLarge
-	case fault.OverLimit:
-		return http.StatusTooManyRequests
-	case fault.Unclear, fault.UpstreamError:
-		return http.StatusBadGateway
-	case fault.TooLate:
-		return http.StatusGatewayTimeout
-	}
-	return http.StatusServiceUnavailable
-}
-
 // fail ends an exchange with an answer of the system's own. A fault that says that the
 // request didn't run turns into one that promises nothing if it may have.
 func (p *Proxy) fail(x *exchange, e *fault.Error) {
-	code := status(e.Code)
+	code := e.Code.Status()
 	if x.sent && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
 		code = http.StatusBadGateway
 	}
@@ -130,8 +108,9 @@
 		p.refund(x)
 	}
 	if x.r.Context().Err() != nil {
+		// The answer is written all the same: the context also ends where a body can't be
+		// read, and without an answer the server of the standard library would send a 200.
 		x.note.outcome = outcomeLeft
-		return
 	}
 	h := x.w.Header()
 	p.codec.Name(h, x.call.ID)
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/tasks"
 	"cranberrypoint.example/coord/trace"
 	"cranberrypoint.example/coord/upconn"
@@ -29,12 +30,10 @@
 )
 
 const (
-	// headerTimeout bounds the time in which a caller sends the head of a request.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is how long an idle connection of a caller is kept.
-	idleTimeout = 60 * time.Second
-	// maxHeader bounds the head of a request in bytes.
-	maxHeader = 64 << 10
+	// maxHeader bounds the head of a request in bytes, whatever the configuration allows.
+	maxHeader = 256 << 10
+	// overduePeriod is the time between two looks for callers who take too long.
+	overduePeriod = 500 * time.Millisecond
 	// traceSize is the number of events in the time line.
 	traceSize = 500
 )
@@ -153,16 +152,15 @@
 	stopMesh := p.mesh.Start()
 	stopOps := opsrv.Serve(listeners[1], p.metrics.registry, trace.NewLog(s.VM, traceSize), p.Status)
 	p.http = &http.Server{
-		Handler:           p,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
-		ConnState:         p.callers.track,
-		ConnContext:       p.callers.context,
+		Handler:        p,
+		MaxHeaderBytes: maxHeader,
+		ConnState:      p.callers.track,
+		ConnContext:    p.callers.context,
 	}
 	p.tasks.Go(func() { _ = p.http.Serve(p.callers) })
 	p.tasks.Go(func() { _ = link.ServeMesh(ctx, listeners[2], nil, p) })
 	p.tasks.Go(p.watch)
+	p.tasks.Go(p.limitCallers)
 	return p, func() {
 		_ = p.http.Close()
 		cancel()
@@ -174,6 +172,24 @@
 	}, nil
 }
 
+// limitCallers closes the connections of callers who take too long, until the entry ends.
+func (p *Proxy) limitCallers() {
+	t := time.NewTicker(overduePeriod)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			var l rules.Limits
+			if v := p.view.Load(); v != nil {
+				l = v.rules.Limits()
+			}
+			p.callers.closeOverdue(now, l)
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
 func listen(addresses ...string) (l []net.Listener, err error) {
 	defer fault.Annotate(&err, "listen")
 	for _, a := range addresses {
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -22,6 +23,10 @@
 	notReadyAgain = 500 * time.Millisecond
 	// defaultTimeout bounds a request whose route and caller name no time.
 	defaultTimeout = 30 * time.Second
+	// fieldFrame is what a header field takes besides its name and value, in bytes, and
+	// headFrame what a head takes besides fields, method, target and the host's name.
+	fieldFrame = len(": \r\n")
+	headFrame  = len("  HTTP/1.1\r\nHost: \r\n\r\n")
 )
 
 // ServeHTTP answers a caller.
@@ -63,16 +68,20 @@
 		return p.notReady("no configuration is known yet")
 	}
 	x.note.version, x.note.age = v.rules.Version(), v.age()
+	if p.callers.ambiguous(x.r) {
+		x.w.Header().Set("Connection", "close")
+		return fault.NotRun(fault.BadRequest, "the request has a length and is chunked")
+	}
 	if !strings.HasPrefix(x.r.RequestURI, "/") {
 		return fault.NotRun(fault.BadRequest, "the request target is not a path")
 	}
+	if most := v.rules.Limits().MaxHeaderBytes; most > 0 && headSize(x.r) > most {
+		return fault.NotRun(fault.HeadTooLarge, "the head of the request is larger than %d bytes", most)
+	}
 	x.path, _, _ = strings.Cut(x.r.RequestURI, "?")
 	if e := p.resolve(x, v); e != nil {
 		return e
 	}
-	if e := p.readBody(x, v.rules.Limits()); e != nil {
-		return e
-	}
 	x.deadline = x.arrived.Add(x.route.Timeout)
 	if x.route.Timeout <= 0 {
 		x.deadline = x.arrived.Add(defaultTimeout)
@@ -80,6 +89,9 @@
 	if d := x.arrived.Add(c.Left); c.Left > 0 && d.Before(x.deadline) {
 		x.deadline = d
 	}
+	if e := p.readBody(x, v.rules.Limits()); e != nil {
+		return e
+	}
 	return p.limit(x)
 }
 
@@ -111,6 +123,17 @@
 	return nil
 }
 
+// headSize returns the size of a request's head in bytes, with its request line.
+func headSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + headFrame
+	for k, l := range r.Header {
+		for _, v := range l {
+			n += len(k) + len(v) + fieldFrame
+		}
+	}
+	return n
+}
+
 func hostOf(h string) string {
 	if n, _, err := net.SplitHostPort(h); err == nil {
 		return n
@@ -126,9 +149,7 @@
 	if most > 0 && x.r.ContentLength > most {
 		return fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", most)
 	}
-	if t := x.route.Timeout; t > 0 {
-		_ = c.SetReadDeadline(x.arrived.Add(t))
-	}
+	_ = c.SetReadDeadline(x.deadline)
 	r := io.Reader(x.r.Body)
 	if most > 0 {
 		r = http.MaxBytesReader(x.w, x.r.Body, most)
@@ -138,6 +159,8 @@
 	switch {
 	case errors.As(err, &large):
 		return fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", most)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.NotRun(fault.TooSlow, "the body didn't come in time")
 	case err != nil:
 		return fault.NotRun(fault.BadRequest, "the body can't be read: %v", err)
 	}
--- a/local/script/fleet_test.go
+++ b/local/script/fleet_test.go
@@ -3,19 +3,17 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
+	"cranberrypoint.example/coord/fake"
 	"cranberrypoint.example/coord/fleet"
 )
 
@@ -60,33 +58,9 @@
 	}
 }
 
-// Ports that the system does not hand out to outgoing connections.
-const (
-	firstPort = 10000
-	lastPort  = 32000
-)
-
-// nextPort counts through the ports, from a start that differs between test runs.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * 101) }
-
-// port returns the address of a free port that no other process of the tests was given.
-func port() (string, error) {
-	for range lastPort - firstPort {
-		p := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		a := fmt.Sprintf("127.0.0.1:%d", p)
-		if l, err := net.Listen("tcp", a); err == nil {
-			_ = l.Close()
-			return a, nil
-		}
-	}
-	return "", errors.New("no port is free")
-}
-
 func ports(n int) (r []string, err error) {
 	for range n {
-		p, err := port()
+		p, err := fake.Address()
 		if err != nil {
 			return nil, err
 		}
@@ -134,7 +108,7 @@
 
 // boot starts the platform and a small fleet of one data centre, or of two.
 func (f *procs) boot(centres []string) error {
-	a, err := port()
+	a, err := fake.Address()
 	if err != nil {
 		return err
 	}
@@ -157,7 +131,7 @@
 }
 
 func (f *procs) bootWeights() error {
-	a, err := port()
+	a, err := fake.Address()
 	if err != nil {
 		return err
 	}
