upconn, entry: connections to an upstream keep to what it takes from all callers

Left from before: the configuration says how many connections an upstream takes from all its callers, and resets those beyond; entries opened as many as they liked. Change: a pool opens no more connections to an address than that, and a request that finds none is refused as not run; idle ones are kept up to an equal part for each entry.

--- a/coord/upconn/conn.go
+++ b/coord/upconn/conn.go
@@ -36,6 +36,14 @@
 	limit *io.LimitedReader
 	// until is when an idle connection is closed.
 	until time.Time
+	// ended tells the pool once that the connection is closed.
+	ended func()
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	defer c.ended()
+	return c.Conn.Close()
 }
 
 // keep returns how long the upstream keeps an idle connection, from its answer.
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// maxIdle bounds the idle connections to one address.
+	// maxIdle bounds the idle connections to one address where the request names no share.
 	maxIdle = 16
 	// maxHeader bounds the head of an answer, and answers of other requests before it, in bytes.
 	maxHeader = 256 << 10
@@ -45,6 +45,10 @@
 	Body   []byte
 	// Framed sends the length of an empty body too.
 	Framed bool
+	// Open is the number of connections that the upstream takes from all its callers
+	// together, and Share how many of them may be kept idle here; 0 if there is no bound.
+	Open  int
+	Share int
 	// Mine reports whether the head of an answer can be that to this request.
 	Mine func(status int, h http.Header) bool
 }
@@ -80,10 +84,16 @@
 // errForeign means that the answers on a connection belonged to other requests.
 var errForeign = errors.New("the answer belongs to another request")
 
+// ErrFull means that as many connections are open as the upstream takes: it would reset
+// another one.
+var ErrFull = errors.New("the upstream takes no more connections")
+
 // Pool holds the connections. It is safe for concurrent use.
 type Pool struct {
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// open counts the connections to an address, those that are being opened too.
+	open map[string]int
 	shut bool
 	// opened counts new connections.
 	opened func()
@@ -92,77 +102,116 @@
 // NewPool returns a pool and a function that closes the idle connections. Opened is
 // called for each new connection.
 func NewPool(opened func()) (p *Pool, closeAll func()) {
-	p = &Pool{idle: map[string][]*conn{}, opened: opened}
+	p = &Pool{idle: map[string][]*conn{}, open: map[string]int{}, opened: opened}
 	return p, p.close
 }
 
 func (p *Pool) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.shut = true
-	for a, l := range p.idle {
-		for _, c := range l {
-			_ = c.Close()
-		}
-		delete(p.idle, a)
+	idle := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	for _, l := range idle {
+		closeAll(l)
 	}
 }
 
 // Forget closes the idle connections of an address.
 func (p *Pool) Forget(address string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
+	l := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	closeAll(l)
+}
+
+// closeAll closes connections. The end of each takes the pool's lock.
+func closeAll(l []*conn) {
+	for _, c := range l {
 		_ = c.Close()
 	}
-	delete(p.idle, address)
 }
 
+// take returns an idle connection that is fit for use, the one used last, or nil.
 func (p *Pool) take(address string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l := p.idle[address]
-	for len(l) > 0 {
+	for {
+		p.mu.Lock()
+		l := p.idle[address]
+		if len(l) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
 		c := l[len(l)-1]
-		l = l[:len(l)-1]
-		p.idle[address] = l
+		p.idle[address] = l[:len(l)-1]
+		p.mu.Unlock()
 		if time.Now().Before(c.until) && c.quiet() {
 			return c
 		}
 		_ = c.Close()
 	}
-	return nil
 }
 
-func (p *Pool) put(address string, c *conn) {
+// put keeps an idle connection, and reports false if there are enough.
+func (p *Pool) put(address string, c *conn, share int) bool {
+	if share <= 0 {
+		share = maxIdle
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.shut || len(p.idle[address]) >= maxIdle {
-		_ = c.Close()
-		return
+	if p.shut || len(p.idle[address]) >= share {
+		return false
 	}
 	p.idle[address] = append(p.idle[address], c)
+	return true
 }
 
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) get(ctx context.Context, address string, most int) (*conn, error) {
 	if c := p.take(address); c != nil {
 		return c, nil
 	}
+	if !p.reserve(address, most) {
+		return nil, ErrFull
+	}
 	n, err := dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.closed(address)
 		return nil, err
 	}
 	if p.opened != nil {
 		p.opened()
 	}
 	l := &io.LimitedReader{R: n, N: math.MaxInt64}
-	return &conn{Conn: n, limit: l, r: bufio.NewReaderSize(l, readBuffer)}, nil
+	c := &conn{Conn: n, limit: l, r: bufio.NewReaderSize(l, readBuffer)}
+	c.ended = sync.OnceFunc(func() { p.closed(address) })
+	return c, nil
+}
+
+// reserve counts a connection that is about to be opened, unless there are as many as the
+// upstream takes.
+func (p *Pool) reserve(address string, most int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if most > 0 && p.open[address] >= most {
+		return false
+	}
+	p.open[address]++
+	return true
+}
+
+// closed counts the end of a connection.
+func (p *Pool) closed(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
 }
 
 // Do sends a request to an address and returns the head of its answer. When the context
 // ends, the connection is closed, also while the body is read.
 func (p *Pool) Do(ctx context.Context, address string, q *Request) (a *Response, err error) {
-	c, err := p.get(ctx, address)
+	c, err := p.get(ctx, address, q.Open)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -224,7 +273,7 @@
 		whole = e == nil
 	default:
 	}
-	b := &body{pool: p, address: address, conn: c, stop: stop, ReadCloser: h.Body}
+	b := &body{pool: p, address: address, share: q.Share, conn: c, stop: stop, ReadCloser: h.Body}
 	b.until = time.Now().Add(keep(h.Header))
 	framed := h.ContentLength >= 0 || len(h.TransferEncoding) > 0
 	b.reuse = whole && framed && !h.Close && h.ProtoAtLeast(1, 1)
@@ -262,6 +311,7 @@
 	io.ReadCloser
 	pool    *Pool
 	address string
+	share   int
 	conn    *conn
 	stop    func() bool
 	until   time.Time
@@ -295,5 +345,7 @@
 		return
 	}
 	b.conn.until = b.until
-	b.pool.put(b.address, b.conn)
+	if !b.pool.put(b.address, b.conn, b.share) {
+		_ = b.conn.Close()
+	}
 }
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -11,8 +11,10 @@
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/hops"
+	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/upconn"
 	"github.com/rotisserie/eris"
 )
@@ -47,6 +49,8 @@
 		Header: h,
 		Body:   x.body,
 		Framed: x.r.ContentLength >= 0 && x.r.Header.Get("Content-Length") != "" || len(x.r.TransferEncoding) > 0,
+		Open:   x.service.MaxConnections,
+		Share:  p.idleShare(x.service),
 		Mine:   func(status int, h http.Header) bool { return p.codec.Mine(status, h, x.call.ID) },
 	})
 	if err != nil {
@@ -62,6 +66,15 @@
 	return a, n, nil
 }
 
+// idleShare returns the number of idle connections that this entry may keep to an upstream
+// of a service, so that all entries together don't take them all.
+func (p *Proxy) idleShare(s *rules.Service) int {
+	if s.MaxConnections <= 0 {
+		return 0
+	}
+	return max(1, s.MaxConnections/(1+p.mesh.Recent(mesh.Entry)))
+}
+
 // lost tells an upstream's silence from the caller's departure.
 func lost(x *exchange) picker.Result {
 	if x.r.Context().Err() != nil {
@@ -72,7 +85,11 @@
 
 // lostOr tells besides that nobody was reached.
 func lostOr(x *exchange, err error) picker.Result {
-	if r := lost(x); r != picker.Lost || maybeSent(err) {
+	r := lost(x)
+	switch {
+	case errors.Is(err, upconn.ErrFull):
+		return picker.Refused
+	case r != picker.Lost || maybeSent(err):
 		return r
 	}
 	return picker.Unreached
