entry: a stop takes no request that it might cut

Cause: only streams were refused near the end of a stop. Change: once the balancer knows of the stop, a request whose time limit lies behind the end of the stop is refused as not run, with a time to come back. Test: TestLateRequestsOfAStop.

--- a/entry/proxy/drain.go
+++ b/entry/proxy/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"cranberrypoint.example/coord/fault"
 )
 
 const (
@@ -16,11 +18,24 @@
 	idleGrace = 250 * time.Millisecond
 )
 
+// stop is the stop of an entry in progress.
+type stop struct {
+	// noticed is when the balancer knows of it; cut is when what isn't finished is cut.
+	noticed time.Time
+	cut     time.Time
+}
+
+// mayCut reports whether a request that arrives now, and may take until a deadline, might
+// be cut. Until the balancer knows of the stop, a request has nowhere else to go.
+func (s stop) mayCut(now, deadline time.Time) bool {
+	return now.After(s.noticed) && deadline.After(s.cut)
+}
+
 // Drain says that the entry isn't ready, serves what still comes for a notice, finishes
 // it, and returns at the latest when the context ends.
 func (p *Proxy) Drain(ctx context.Context) {
 	if d, ok := ctx.Deadline(); ok {
-		p.stopBy.Store(&d)
+		p.stop.Store(&stop{noticed: time.Now().Add(notice), cut: d})
 	}
 	p.draining.Store(true)
 	p.log.WithField("event", "draining").WithField("active", p.active.Load()).Info("stop")
@@ -36,8 +51,17 @@
 	}
 }
 
-// ending reports whether a request that may take d would be cut by the entry's stop.
+// ending reports whether a stream that usually takes d would be cut by the entry's stop.
 func (p *Proxy) ending(d time.Duration) bool {
-	t := p.stopBy.Load()
-	return t != nil && time.Until(*t) < d
+	s := p.stop.Load()
+	return s != nil && time.Until(s.cut) < d
+}
+
+// leaving refuses a request that the entry's own stop might cut.
+func (p *Proxy) leaving(x *exchange) *fault.Error {
+	s := p.stop.Load()
+	if s == nil || !s.mayCut(x.arrived, x.deadline) {
+		return nil
+	}
+	return fault.NotRun(fault.Leaving, "the entry is stopping").WithAgain(time.Now().Add(leastAgain))
 }
--- /dev/null
+++ b/entry/proxy/drain_test.go
@@ -0,0 +1,29 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLateRequestsOfAStop covers which requests a stopping entry takes: all until the
+// balancer knows, then those that end before it does.
+func TestLateRequestsOfAStop(t *testing.T) {
+	began := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+	s := stop{noticed: at(3000), cut: at(7300)}
+	for _, c := range []struct {
+		name              string
+		arrived, deadline int
+		want              bool
+	}{
+		{"a stream at once", 100, 14100, false},
+		{"a call at once", 100, 700, false},
+		{"a short call later", 5000, 5600, false},
+		{"a long call later", 5000, 9000, true},
+		{"a short call at the end", 7100, 7700, true},
+	} {
+		if got := s.mayCut(at(c.arrived), at(c.deadline)); got != c.want {
+			t.Errorf("%s: might be cut %v", c.name, got)
+		}
+	}
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -85,8 +85,8 @@
 	draining atomic.Bool
 	// reached is the instant at which the last call to the store began that was answered.
 	reached atomic.Int64
-	// stopBy is when a stop in progress cuts what isn't finished.
-	stopBy  atomic.Pointer[time.Time]
+	// stop is the stop in progress, if there is one.
+	stop    atomic.Pointer[stop]
 	active  atomic.Int64
 	callers *callers
 
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -89,6 +89,9 @@
 	if d := x.arrived.Add(c.Left); c.Left > 0 && d.Before(x.deadline) {
 		x.deadline = d
 	}
+	if e := p.leaving(x); e != nil {
+		return e
+	}
 	if e := p.readBody(x, v.rules.Limits()); e != nil {
 		return e
 	}
