agent, entry, platform: metrics on a port of their own; a stop counts from a request's first bytes

Found beside: TestStopWaitsForARequestOnItsWay failed on the commit before (503): a request whose head began before the balancer knew of the stop was refused by when the head ended. It counts from its first bytes now.

--- a/agent/grants/engine.go
+++ b/agent/grants/engine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
@@ -20,6 +21,7 @@
 // ask takes in the engine's report.
 func (g *Grants) ask() {
 	r, err := g.read()
+	g.metrics.reports.WithLabelValues(yes(err == nil)).Inc()
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -128,6 +130,7 @@
 	status, _, err := g.call(http.MethodPost, path, body)
 	if err != nil {
 		// The engine may have taken it; the next report tells.
+		g.metrics.orders.WithLabelValues("none").Inc()
 		l.WithError(err).Warn("order")
 		return
 	}
@@ -136,6 +139,7 @@
 		g.ordered = o.Stage
 		g.mu.Unlock()
 	}
+	g.metrics.orders.WithLabelValues(strconv.Itoa(status)).Inc()
 	l.WithField("status", status).Info("order")
 }
 
--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -13,9 +13,11 @@
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/coord/place"
 	"cranberrypoint.example/coord/stages"
 	"cranberrypoint.example/coord/tasks"
+	"cranberrypoint.example/coord/trace"
 	"cranberrypoint.example/coord/upconn"
 	"cranberrypoint.example/coord/wire"
 	"github.com/sirupsen/logrus"
@@ -38,6 +40,8 @@
 	orderPeriod = 500 * time.Millisecond
 	// maxReport bounds a report in bytes.
 	maxReport = 1 << 20
+	// traceSize is the number of events in the time line.
+	traceSize = 500
 )
 
 // Settings are those of an agent.
@@ -46,6 +50,8 @@
 	DataCentre string
 	// Listen is the address of the drpc server.
 	Listen string
+	// Ops is the address of metrics and status; empty for none.
+	Ops string
 	// Upstream is the address of the engine.
 	Upstream string
 	Service  string
@@ -63,6 +69,7 @@
 	log      logrus.FieldLogger
 	mesh     *mesh.Mesh
 	engine   *upconn.Pool
+	metrics  *metrics
 	ctx      context.Context
 	tasks    tasks.Group
 	born     time.Time
@@ -92,6 +99,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	ops, err := listenOps(s.Ops)
+	if err != nil {
+		_ = l.Close()
+		return nil, nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
 	links, closeLinks := link.NewPool(nil, link.WithPing(mesh.Ping))
@@ -100,6 +112,7 @@
 		settings: s,
 		log:      s.Log,
 		engine:   engine,
+		metrics:  newMetrics(),
 		ctx:      ctx,
 		born:     now,
 		ledger:   place.New(),
@@ -118,12 +131,17 @@
 	}
 	g.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithRefresh(g.refresh))
 	stopMesh := g.mesh.Start()
+	stopOps := func() {}
+	if ops != nil {
+		stopOps = opsrv.Serve(ops, g.metrics.registry, trace.NewLog(s.VM, traceSize), g.Status)
+	}
 	g.tasks.Go(func() { _ = link.ServeMesh(ctx, l, nil, g) })
 	g.tasks.Go(func() { g.every(reportPeriod, g.ask) })
 	g.tasks.Go(func() { g.every(tickPeriod, g.tick) })
 	g.tasks.Go(func() { g.every(orderPeriod, g.direct) })
 	return g, func() {
 		cancel()
+		stopOps()
 		stopMesh()
 		closeLinks()
 		closeEngine()
@@ -131,6 +149,28 @@
 	}, nil
 }
 
+// listenOps listens on the operators' address, if there is one.
+func listenOps(address string) (net.Listener, error) {
+	if address == "" {
+		return nil, nil
+	}
+	return net.Listen("tcp", address)
+}
+
+// Status tells what the agent is doing.
+func (g *Grants) Status() opsrv.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return opsrv.Status{
+		VM:          g.settings.VM,
+		Program:     mesh.Agent,
+		DataCentre:  g.settings.DataCentre,
+		Incarnation: uint64(g.born.UnixNano()),
+		Ready:       g.sound(time.Now()),
+		Active:      g.ledger.Running(),
+	}
+}
+
 func (g *Grants) every(d time.Duration, f func()) {
 	t := time.NewTicker(d)
 	defer t.Stop()
--- a/agent/grants/hold.go
+++ b/agent/grants/hold.go
@@ -94,7 +94,9 @@
 
 // holdPrefill counts a prompt as backlog while it is read, if the engine may read it.
 func (g *Grants) holdPrefill(s wire.DRPCMesh_HoldStream, q *wire.HoldRequest) error {
-	if !g.beginRead(q) {
+	ok := g.beginRead(q)
+	g.metrics.prompts.WithLabelValues(yes(ok)).Inc()
+	if !ok {
 		return s.Send(&wire.HoldReply{Reason: "another prompt is read beside the answers"})
 	}
 	defer g.endRead(q)
@@ -156,6 +158,8 @@
 }
 
 func (g *Grants) logOutcome(q *wire.HoldRequest, o place.Outcome, waited time.Duration) {
+	g.metrics.places.WithLabelValues(yes(o.Granted), o.Reason).Inc()
+	g.metrics.waits.WithLabelValues(yes(o.Granted)).Observe(waited.Seconds())
 	g.mu.Lock()
 	s := g.ledger.State()
 	age := time.Since(g.reported)
--- a/entry/proxy/callers.go
+++ b/entry/proxy/callers.go
@@ -105,21 +105,21 @@
 	}
 }
 
-// take reports whether a request may be served on its connection: not if that is being
-// closed, since its answer wouldn't arrive.
-func (c *callers) take(ctx context.Context) bool {
+// take reports whether a request may be served on its connection, and when its first bytes
+// came: not if that is being closed, since its answer wouldn't arrive.
+func (c *callers) take(ctx context.Context) (began time.Time, ok bool) {
 	n, ok := ctx.Value(callerKey{}).(net.Conn)
 	if !ok {
-		return true
+		return time.Now(), true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x := c.conns[n]
 	if x == nil || x.closing {
-		return false
+		return time.Time{}, false
 	}
 	x.taken = true
-	return true
+	return x.began, true
 }
 
 // ambiguous reports whether a chunked request has a length too, which some servers
--- a/entry/proxy/callers_test.go
+++ b/entry/proxy/callers_test.go
@@ -26,7 +26,7 @@
 	c := newCallers(l)
 	var taken, answered atomic.Int64
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !c.take(r.Context()) {
+		if _, ok := c.take(r.Context()); !ok {
 			panic(http.ErrAbortHandler)
 		}
 		taken.Add(1)
--- a/entry/proxy/drain.go
+++ b/entry/proxy/drain.go
@@ -25,10 +25,10 @@
 	cut     time.Time
 }
 
-// mayCut reports whether a request that arrives now, and may take until a deadline, might
-// be cut. Until the balancer knows of the stop, a request has nowhere else to go.
-func (s stop) mayCut(now, deadline time.Time) bool {
-	return now.After(s.noticed) && deadline.After(s.cut)
+// mayCut reports whether a request that began to arrive at some time, and may take until a
+// deadline, might be cut. Until the balancer knows of the stop, it has nowhere else to go.
+func (s stop) mayCut(began, deadline time.Time) bool {
+	return began.After(s.noticed) && deadline.After(s.cut)
 }
 
 // Drain says that the entry isn't ready, serves what still comes for a notice, finishes
@@ -60,7 +60,7 @@
 // leaving refuses a request that the entry's own stop might cut.
 func (p *Proxy) leaving(x *exchange) *fault.Error {
 	s := p.stop.Load()
-	if s == nil || !s.mayCut(x.arrived, x.deadline) {
+	if s == nil || !s.mayCut(x.began, x.deadline) {
 		return nil
 	}
 	return fault.NotRun(fault.Leaving, "the entry is stopping").WithAgain(time.Now().Add(leastAgain))
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -18,6 +18,8 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	ctx     context.Context
+	// began is when the first bytes came, arrived when the head was read.
+	began   time.Time
 	arrived time.Time
 	// deadline is when the request must have its final answer.
 	deadline time.Time
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -44,8 +44,10 @@
 	DataCentre string
 	// Callers is the address of the callers' HTTP server.
 	Callers string
-	// Ops is the address of readiness and metrics.
+	// Ops is the address of readiness, and of metrics and status.
 	Ops string
+	// Metrics is a further address of metrics and status; empty for none.
+	Metrics string
 	// Peers is the address of the drpc server.
 	Peers string
 	// Capacity is the processor share of this VM in thousandths.
@@ -114,7 +116,11 @@
 // Start runs an entry and returns it with a function that stops it at once.
 func Start(s Settings) (p *Proxy, stop func(), err error) {
 	defer fault.Annotate(&err, "start entry %s", s.VM)
-	listeners, err := listen(s.Callers, s.Ops, s.Peers)
+	addresses := []string{s.Callers, s.Peers, s.Ops}
+	if s.Metrics != "" {
+		addresses = append(addresses, s.Metrics)
+	}
+	listeners, err := listen(addresses...)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -153,7 +159,10 @@
 	}
 	p.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithRefresh(p.refresh), mesh.WithChanged(p.meet))
 	stopMesh := p.mesh.Start()
-	stopOps := opsrv.Serve(listeners[1], p.metrics.registry, trace.NewLog(s.VM, traceSize), p.Status)
+	var stopOps []func()
+	for _, l := range listeners[2:] {
+		stopOps = append(stopOps, opsrv.Serve(l, p.metrics.registry, trace.NewLog(s.VM, traceSize), p.Status))
+	}
 	p.http = &http.Server{
 		Handler:        p,
 		MaxHeaderBytes: maxHeader,
@@ -161,13 +170,15 @@
 		ConnContext:    p.callers.context,
 	}
 	p.tasks.Go(func() { _ = p.http.Serve(p.callers) })
-	p.tasks.Go(func() { _ = link.ServeMesh(ctx, listeners[2], nil, p) })
+	p.tasks.Go(func() { _ = link.ServeMesh(ctx, listeners[1], nil, p) })
 	p.tasks.Go(p.watch)
 	p.tasks.Go(p.limitCallers)
 	return p, func() {
 		_ = p.http.Close()
 		cancel()
-		stopOps()
+		for _, f := range stopOps {
+			f()
+		}
 		stopMesh()
 		closeLinks()
 		closeConns()
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -31,7 +31,8 @@
 
 // ServeHTTP answers a caller.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !p.callers.take(r.Context()) {
+	began, ok := p.callers.take(r.Context())
+	if !ok {
 		panic(http.ErrAbortHandler)
 	}
 	p.active.Add(1)
@@ -39,7 +40,7 @@
 	if p.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{w: w, r: r, arrived: time.Now()}
+	x := &exchange{w: w, r: r, began: began, arrived: time.Now()}
 	x.note.outcome = outcomeCut
 	defer p.finish(x)
 	if e := p.admit(x); e != nil {
