--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -15,9 +15,9 @@
 
 // exchange is one request of a caller and what became of it.
 type exchange struct {
-	w       http.ResponseWriter
-	r       *http.Request
-	ctx     context.Context
+	w   http.ResponseWriter
+	r   *http.Request
+	ctx context.Context
 	// began is when the first bytes came, arrived when the head was read.
 	began   time.Time
 	arrived time.Time
