rank, entry: an entry follows a bounded number of agents

Left from before: an entry followed all agents; at the planned 770 their states are 115 KB a second (computed), five times what a node may spend on control. Change: beyond 64 agents an entry follows 64, chosen for each service by rendezvous hashing, and leaves the other engines to other entries. The ranking is a package of its own; the owners of limits use it too. Before and after at the planned size, computed: 115 KB, 9.6 KB a second; no site has more than 64 agents at its usual size.

--- a/coord/limits/bench_test.go
+++ b/coord/limits/bench_test.go
@@ -23,18 +23,3 @@
 		})
 	}
 }
-
-// BenchmarkOwners ranks the entries for a workspace.
-func BenchmarkOwners(b *testing.B) {
-	for _, n := range []int{5, 24, 370} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var l []string
-			for i := range n {
-				l = append(l, fmt.Sprint("entry-", i))
-			}
-			for b.Loop() {
-				Owners("workspace", l, 2)
-			}
-		})
-	}
-}
--- a/coord/limits/limits.go
+++ b/coord/limits/limits.go
@@ -14,13 +14,7 @@
 // out of what operators tolerate beyond the limit.
 package limits
 
-import (
-	"cmp"
-	"slices"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 const (
 	// overShare is the part of what operators tolerate beyond a rate that an owner grants; the
@@ -142,34 +136,6 @@
 // fleet that is restarted in turn would refuse most of what is within its limits.
 func MayOwn(heard, missing int) bool { return heard > missing }
 
-// Owners returns the first few entries in the order in which they rank for a workspace:
-// rendezvous hashing, so that the loss of an entry moves only what it owned.
-func Owners(workspace string, entries []string, few int) []string {
-	type ranked struct {
-		score uint64
-		name  string
-	}
-	worse := func(a, b ranked) int { return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.name, b.name)) }
-	top := make([]ranked, 0, few+1)
-	prefix := xxhash.New()
-	for _, e := range entries {
-		prefix.Reset()
-		_, _ = prefix.WriteString(workspace)
-		_, _ = prefix.WriteString(e)
-		r := ranked{prefix.Sum64(), e}
-		at, _ := slices.BinarySearchFunc(top, r, worse)
-		if at < few {
-			top = slices.Insert(top, at, r)
-			top = top[:min(few, len(top))]
-		}
-	}
-	names := make([]string, len(top))
-	for i, r := range top {
-		names[i] = r.name
-	}
-	return names
-}
-
 type advance struct {
 	tokens int64
 	until  time.Time
--- a/coord/limits/limits_test.go
+++ b/coord/limits/limits_test.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
+	"cranberrypoint.example/coord/rank"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -84,20 +84,6 @@
 	}
 }
 
-// TestOwnersMoveLittle checks that the loss of an entry moves only what it owned.
-func TestOwnersMoveLittle(t *testing.T) {
-	all := []string{"a", "b", "c", "d", "e"}
-	for i := range 100 {
-		w := fmt.Sprint(i)
-		before := Owners(w, all, len(all))
-		after := Owners(w, []string{"a", "b", "d", "e"}, len(all))
-		want := slices.DeleteFunc(slices.Clone(before), func(n string) bool { return n == "c" })
-		if d := cmp.Diff(want, after); d != "" {
-			t.Errorf("%s (-want +got):\n%s", w, d)
-		}
-	}
-}
-
 // fleet is a number of entries that reach each other or not.
 type fleet struct {
 	rand    *rand.Rand
@@ -162,7 +148,7 @@
 // take asks the owner as an entry does: the first in rank that it reaches, which asks the
 // owner if that is another one and it reaches it, or nobody.
 func (f *fleet) take(now time.Time, e string, t Terms, tokens int64) bool {
-	owners := Owners("w", f.entries, 2)
+	owners := rank.Top("w", f.entries, 2)
 	for i, o := range owners {
 		terms, bucket := t, "w"
 		switch {
--- /dev/null
+++ b/coord/rank/rank_test.go
@@ -0,0 +1,41 @@
+package rank
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestLossMovesLittle checks that the loss of a name moves only what it had.
+func TestLossMovesLittle(t *testing.T) {
+	all := []string{"a", "b", "c", "d", "e"}
+	for i := range 100 {
+		k := fmt.Sprint(i)
+		before := Top(k, all, len(all))
+		after := Top(k, []string{"a", "b", "d", "e"}, len(all))
+		want := slices.DeleteFunc(slices.Clone(before), func(n string) bool { return n == "c" })
+		if d := cmp.Diff(want, after); d != "" {
+			t.Errorf("%s (-want +got):\n%s", k, d)
+		}
+		if d := cmp.Diff(before[:2], Top(k, all, 2)); d != "" {
+			t.Errorf("%s: first two (-want +got):\n%s", k, d)
+		}
+	}
+}
+
+// BenchmarkTop ranks names for a key.
+func BenchmarkTop(b *testing.B) {
+	for _, c := range []struct{ names, few int }{{5, 2}, {24, 2}, {370, 2}, {770, 64}} {
+		b.Run(fmt.Sprint(c.names, "/", c.few), func(b *testing.B) {
+			var l []string
+			for i := range c.names {
+				l = append(l, fmt.Sprint("vm-", i))
+			}
+			for b.Loop() {
+				Top("key", l, c.few)
+			}
+		})
+	}
+}
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -91,7 +91,7 @@
 func (p *Proxy) spots(service string, stage wire.Stage, tried map[string]bool) (l []spot) {
 	now := time.Now()
 	for _, u := range p.view.Load().services[service] {
-		if tried[u.Instance] || p.picker.Out(now, u.Instance) {
+		if tried[u.Instance] || p.unfollowed[u.Address] || p.picker.Out(now, u.Instance) {
 			continue
 		}
 		s := spot{up: u, stage: u.Stage}
--- a/entry/proxy/follow.go
+++ b/entry/proxy/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cranberrypoint.example/coord/rank"
 	"cranberrypoint.example/coord/wire"
 	"github.com/sirupsen/logrus"
 )
@@ -13,6 +14,12 @@
 	followSilence = 1500 * time.Millisecond
 	// followRetry is the pause after a lost agent.
 	followRetry = 300 * time.Millisecond
+	// mostFollowed is the number of agents that an entry follows: each sends some states a
+	// second, and what an entry spends on them mustn't grow with the fleet.
+	mostFollowed = 64
+	// leastFollowed is the number of each service's agents that it follows, if there are so
+	// many: enough engines of both stages, some of which may fail.
+	leastFollowed = 12
 )
 
 // follower keeps what one agent tells of its engine.
@@ -32,10 +39,41 @@
 	return f != nil && f.state != nil && now.Sub(f.at) < followSilence
 }
 
-// follow starts and ends the followers so that each live agent has one.
+// choose parts the agents into those that an entry follows and the others. Each agent of a
+// large fleet is followed by about as many entries as any other of its service.
+func choose(entry string, agents []*wire.Member) (followed, others []*wire.Member) {
+	if len(agents) <= mostFollowed {
+		return agents, nil
+	}
+	services := map[string][]string{}
+	for _, m := range agents {
+		services[m.Service] = append(services[m.Service], m.Name)
+	}
+	chosen := map[string]bool{}
+	for _, names := range services {
+		for _, n := range rank.Top(entry, names, max(leastFollowed, mostFollowed*len(names)/len(agents))) {
+			chosen[n] = true
+		}
+	}
+	for _, m := range agents {
+		if chosen[m.Name] {
+			followed = append(followed, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	return followed, others
+}
+
+// follow starts and ends the followers so that each live agent that is chosen has one.
 func (p *Proxy) follow(agents []*wire.Member) {
+	agents, others := choose(p.settings.VM, agents)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	clear(p.unfollowed)
+	for _, m := range others {
+		p.unfollowed[m.Upstream] = true
+	}
 	live := map[string]bool{}
 	for _, m := range agents {
 		live[m.Upstream] = true
--- a/entry/proxy/limit.go
+++ b/entry/proxy/limit.go
@@ -10,6 +10,7 @@
 	"cranberrypoint.example/coord/limits"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/rank"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
 	"github.com/rotisserie/eris"
@@ -155,7 +156,7 @@
 		// Others no longer ask an entry that leaves.
 		names = append(names, p.settings.VM)
 	}
-	return limits.Owners(workspace, names, owners)
+	return rank.Top(workspace, names, owners)
 }
 
 // silent reports whether an owner lately didn't answer, so that it isn't waited for.
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -106,11 +106,13 @@
 	// unreached are the owners that don't answer, until when they aren't asked.
 	unreached map[string]time.Time
 	// refused are the incarnations of owners that refused a connection: they have ended.
-	refused   map[string]int64
-	budgets   map[string]*budget.Budget
-	followed  map[string]*follower
-	engines   *engines
-	storeLost bool
+	refused  map[string]int64
+	budgets  map[string]*budget.Budget
+	followed map[string]*follower
+	// unfollowed are the engines whose agents live and are left to other entries.
+	unfollowed map[string]bool
+	engines    *engines
+	storeLost  bool
 }
 
 // Start runs an entry and returns it with a function that stops it at once.
@@ -128,24 +130,25 @@
 	now := time.Now()
 	links, closeLinks := link.NewPool(nil, link.WithPing(mesh.Ping))
 	p = &Proxy{
-		settings:  s,
-		log:       s.Log,
-		codec:     s.Codec,
-		metrics:   newMetrics(),
-		links:     links,
-		ctx:       ctx,
-		born:      now,
-		roster:    roster.New(),
-		book:      digest.New(),
-		picker:    picker.New(s.DataCentre, uint64(now.UnixNano())),
-		limits:    limits.New(),
-		alone:     limits.New(),
-		unreached: map[string]time.Time{},
-		refused:   map[string]int64{},
-		budgets:   map[string]*budget.Budget{},
-		followed:  map[string]*follower{},
-		engines:   newEngines(),
-		callers:   newCallers(listeners[0]),
+		settings:   s,
+		log:        s.Log,
+		codec:      s.Codec,
+		metrics:    newMetrics(),
+		links:      links,
+		ctx:        ctx,
+		born:       now,
+		roster:     roster.New(),
+		book:       digest.New(),
+		picker:     picker.New(s.DataCentre, uint64(now.UnixNano())),
+		limits:     limits.New(),
+		alone:      limits.New(),
+		unreached:  map[string]time.Time{},
+		refused:    map[string]int64{},
+		budgets:    map[string]*budget.Budget{},
+		followed:   map[string]*follower{},
+		unfollowed: map[string]bool{},
+		engines:    newEngines(),
+		callers:    newCallers(listeners[0]),
 	}
 	var closeConns func()
 	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc)
