entry: engines without their agents are no favourites

Cause: an entry that holds nothing at such an engine saw all of its memory free, which made it the best of all; twenty entries sent a run each to twelve slots, and the refusals spent the budget of the fleet. The same for prompts. Ruled out: the old instances at those addresses (requests name the instance), the limits (6 refusals). Change: such an engine comes after those with known room and before waiting; of more entries than runs fit only those that rank first for it use it; a prefill engine without an agent counts as no less busy than the others are.

--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -1,11 +1,12 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/rank"
 	"cranberrypoint.example/coord/roster"
-	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
 )
 
@@ -22,6 +23,10 @@
 	// aloneShare is the part of an engine's memory that entries hand out without its agent,
 	// each an equal part of it.
 	aloneShare = 0.7
+	// aloneCost and aloneFull are where engines without their agents stand among the others,
+	// with room and without.
+	aloneCost = 2.0
+	aloneFull = 3.0
 )
 
 // engines holds what an entry has learned of engines and callers.
@@ -123,43 +128,59 @@
 	return best, now, ok
 }
 
-// decodeCost orders engines: those with room by the part of the memory that is free,
-// before those without by the time until a place is likely.
+// decodeCost orders engines: those with room by the part of the memory that is free, those
+// whose agents aren't heard after them, and before those without room, by the time until a
+// place is likely.
 func (p *Proxy) decodeCost(x *exchange, s spot) (cost float64, free bool) {
 	if s.state == nil {
-		room := p.aloneRoom(x.service.Engine, s.up)
+		room := p.aloneRoom(x, s.up)
 		if room < x.call.Prompt+x.call.Most {
-			return 3, false
+			return aloneFull, false
 		}
-		return 1 - float64(room)/float64(x.service.Engine.Memory), true
+		return aloneCost - float64(room)/float64(x.service.Engine.Memory), true
 	}
-	pending := int64(s.follower.asked) * (x.call.Prompt + x.call.Most/2)
+	pending := int64(s.follower.asked) * usualRun(x)
 	if room := s.state.Room - pending; s.state.Waiting == 0 && room >= x.call.Prompt {
 		return 1 - float64(room)/float64(max(1, s.state.Memory)), true
 	}
 	again := micros(s.state.AgainMicros)
 	queue := float64(int(s.state.Waiting)+s.follower.asked) / float64(max(1, s.state.Slots))
-	return 2 + again.Seconds() + queue, false
+	return aloneCost + again.Seconds() + queue, false
 }
 
+// usualRun returns the tokens that a run like a request usually holds at its end.
+func usualRun(x *exchange) int64 { return x.call.Prompt + x.call.Most/2 }
+
 // aloneRoom returns the tokens that this entry may still hand out at an engine whose
-// agent isn't heard. Where it has nothing there, one run of any size may go: large runs
-// would never fit into a part of the memory.
-func (p *Proxy) aloneRoom(e *rules.Engine, u roster.Upstream) int64 {
+// agent isn't heard: an equal part, and where it has nothing there, one run of any size,
+// since large runs would never fit into a part. Where there are more entries than runs
+// fit, only those that rank first for the engine hand out anything.
+func (p *Proxy) aloneRoom(x *exchange, u roster.Upstream) int64 {
+	e := x.service.Engine
+	most := int64(aloneShare * float64(e.Memory))
 	taken := p.engines.alone[u.Instance]
-	if taken == 0 {
-		return e.Memory
+	if taken > 0 {
+		return most/int64(1+p.mesh.Recent(mesh.Entry)) - taken
+	}
+	names := []string{p.settings.VM}
+	for _, m := range p.mesh.Live(mesh.Entry) {
+		names = append(names, m.Name)
+	}
+	runs := int(max(1, most/max(1, usualRun(x))))
+	if !slices.Contains(rank.Top(u.Instance, names, min(runs, max(1, e.Slots))), p.settings.VM) {
+		return 0
 	}
-	n := int64(1 + p.mesh.Recent(mesh.Entry))
-	return int64(aloneShare*float64(e.Memory))/n - taken
+	return e.Memory
 }
 
 // prefillSpot returns the engine that reads a prompt first, and the tokens before it.
 func (p *Proxy) prefillSpot(x *exchange, tried map[string]bool) (best spot, backlog int64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.spots(x.service.Name, wire.Stage_STAGE_PREFILL, tried) {
-		n := p.backlog(s)
+	l := p.spots(x.service.Name, wire.Stage_STAGE_PREFILL, tried)
+	usual := usualBacklog(l)
+	for _, s := range l {
+		n := p.backlog(s, usual)
 		if !ok || n < backlog {
 			best, backlog, ok = s, n, true
 		}
@@ -167,10 +188,23 @@
 	return best, backlog, ok
 }
 
-// backlog returns the prompt tokens that an engine has yet to read.
-func (p *Proxy) backlog(s spot) int64 {
+// usualBacklog returns the mean of what waits at engines whose agents are heard.
+func usualBacklog(l []spot) (mean int64) {
+	n := int64(0)
+	for _, s := range l {
+		if s.state != nil {
+			mean += s.state.Backlog
+			n++
+		}
+	}
+	return mean / max(1, n)
+}
+
+// backlog returns the prompt tokens that an engine has yet to read. One whose agent isn't
+// heard is no less busy than others usually are.
+func (p *Proxy) backlog(s spot, usual int64) int64 {
 	if s.state == nil {
-		return p.engines.alone[s.up.Instance] * int64(1+p.mesh.Recent(mesh.Entry))
+		return max(usual+1, p.engines.alone[s.up.Instance]*int64(1+p.mesh.Recent(mesh.Entry)))
 	}
 	return max(s.state.Backlog, s.follower.reading)
 }
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -252,7 +252,7 @@
 	n := x.call.Prompt + x.call.Most
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.aloneRoom(x.service.Engine, s.up) < n {
+	if p.aloneRoom(x, s.up) < n {
 		r := &wire.HoldReply{Reason: "the agent is silent and this entry's part is taken", AgainMicros: fullStreamAgain.Microseconds()}
 		return ticket{}, r, nil
 	}
