--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -33,9 +33,6 @@
 	firstSlots = 8
 	// smooth is the weight of a new sample in an average.
 	smooth = 0.2
-	// tightTerm is how long after a request became late for want of a place those that are
-	// late get none: the places are for those that can still begin in time.
-	tightTerm = 500 * time.Millisecond
 )
 
 // Ask is a request for a place.
@@ -115,10 +112,6 @@
 	most     float64
 	prompt   float64
 	reported time.Time
-	// tight is when a request that could have begun in time last became late for want of a
-	// place.
-	tight  time.Time
-	ticked time.Time
 }
 
 // New returns a ledger that grants nothing before the engine has reported its memory.
@@ -229,17 +222,8 @@
 		return true
 	})
 	slices.SortStableFunc(l.queue, func(a, b Ask) int { return before(now, a, b) })
-	for _, a := range l.queue {
-		if !a.Timely.IsZero() && !a.Timely.After(now) && a.Timely.After(l.ticked) {
-			l.tight = now
-		}
-	}
-	l.ticked = now
 	for len(l.queue) > 0 {
 		a := l.queue[0]
-		if !a.Timely.After(now) && now.Sub(l.tight) < tightTerm {
-			break
-		}
 		if !l.plan().fits(l.candidate(a)) {
 			break
 		}
