entry: without an owner in reach an entry grants half of an equal share, not a stand-in's part of it

Found on reading the change: after both owners were out of reach, the request still bore the mark of a stand-in, so the terms of a stand-in and of an equal share were multiplied, and a new bucket held half of it at once. Test: TestUnreachedOwnersLeaveAnEqualShare failed first (200 of 40 grants).

--- /dev/null
+++ b/entry/proxy/limit_test.go
@@ -0,0 +1,44 @@
+package proxy
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"cranberrypoint.example/coord/limits"
+	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/rank"
+	"cranberrypoint.example/coord/rules"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+)
+
+// TestUnreachedOwnersLeaveAnEqualShare asks where neither owner of a workspace answers: what
+// is granted is half of an equal share, of a bucket that begins with a tenth of the burst.
+func TestUnreachedOwnersLeaveAnEqualShare(t *testing.T) {
+	const entries, burst, size = 4, 160000, 100
+	granted := 0
+	for i := range entries {
+		p, x := entryAmong(t, i, entries, 0)
+		p.log, p.owns = logrus.New(), true
+		p.limits, p.alone = limits.New(), limits.New()
+		p.unreached, p.refused = map[string]time.Time{}, map[string]int64{}
+		names := []string{p.settings.VM}
+		for _, m := range p.mesh.Live(mesh.Entry) {
+			names = append(names, m.Name)
+			p.unreached[m.Name] = time.Now().Add(time.Minute)
+		}
+		if l := rank.Top("w", names, owners); l[0] == p.settings.VM || l[1] == p.settings.VM {
+			continue
+		}
+		x.r = httptest.NewRequest("GET", "/", nil)
+		x.workspace = &rules.Workspace{Name: "w", Rate: 1, Burst: burst}
+		for ok := true; ok; granted++ {
+			ok, _ = p.takeFrom(x, size)
+		}
+		granted--
+	}
+	if d := cmp.Diff(2*burst/10/2/entries/size, granted); d != "" {
+		t.Errorf("requests that were granted by the two entries that own nothing (-want +got):\n%s", d)
+	}
+}
