entry: nothing is sent to an upstream that has left while the request waited

Cause: what an upstream may get was looked at when it was chosen; at the worst load seconds pass until a place and the prompt are there. Ruled out: the age of the list (0.5 s), the agents' grants (they know nothing of leaving). Change: the list is looked at before each send; such a request is not sent, and goes to another engine.

--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -25,6 +25,9 @@
 // errNoProof means that a success lacks what shows that it is the upstream's own.
 var errNoProof = eris.New("the answer can't be the upstream's")
 
+// errLeft means that an upstream was chosen and has left, or is about to, since.
+var errLeft = eris.New("the upstream is leaving")
+
 // send sends the request to an upstream and reads the head of the answer, if the
 // configuration in force still lets it run there. It counts the outcome, unless the answer
 // goes on to be relayed.
@@ -32,6 +35,10 @@
 	if e := p.allowed(x); e != nil {
 		return nil, calls.Answer{}, &upconn.Error{Err: e}
 	}
+	if !p.view.Load().usable(u) {
+		// It was chosen seconds ago, before a wait for its place or for the prompt.
+		return nil, calls.Answer{}, &upconn.Error{Err: errLeft}
+	}
 	h := x.r.Header.Clone()
 	hops.Strip(h)
 	s.Instance = u.Instance
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
@@ -35,6 +36,11 @@
 	return term <= 0 || v.age() < term-termMargin
 }
 
+// usable reports whether an upstream may still get new work.
+func (v *view) usable(u roster.Upstream) bool {
+	return slices.ContainsFunc(v.services[u.Service], func(x roster.Upstream) bool { return x.Instance == u.Instance })
+}
+
 func (v *view) age() time.Duration { return clock.Now().Sub(v.asked) }
 
 // adopt puts a listing in force that was asked for at some instant. What is older than
