member, limits, entry: no limit is granted twice by a start behind a cut, or as owners come and go

Cause: an entry that starts behind a cut has heard of nobody, so it missed nobody, and granted whole limits. Besides, an entry that owned a workspace's limit before kept its bucket, which filled up; each time the owner ended, a whole burst more. Stand-ins have buckets of their own, apart.

--- a/coord/limits/limits.go
+++ b/coord/limits/limits.go
@@ -14,7 +14,10 @@
 // out of what operators tolerate beyond the limit.
 package limits
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// overShare is the part of what operators tolerate beyond a rate that an owner grants; the
@@ -123,6 +126,12 @@
 	return b
 }
 
+// Keep forgets the buckets of workspaces for which own is false: others grant their tokens
+// now, and a bucket that went on to fill would be granted besides if they come back.
+func (l *Limits) Keep(own func(workspace string) bool) {
+	maps.DeleteFunc(l.buckets, func(w string, _ *bucket) bool { return !own(w) })
+}
+
 // Return gives back tokens of a request that didn't run.
 func (l *Limits) Return(workspace string, tokens int64) {
 	if b := l.buckets[workspace]; b != nil {
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -54,6 +54,8 @@
 	turn int
 	// contact is when a member was last heard itself.
 	contact time.Time
+	// beats is the number of heartbeats of this life.
+	beats int
 }
 
 // New returns the members as known to a process that starts.
@@ -82,6 +84,7 @@
 // exchange with.
 func (m *Members) Beat(now time.Time) (targets []string) {
 	m.self.Beat++
+	m.beats++
 	var live []string
 	for n, k := range m.all {
 		switch {
@@ -108,9 +111,23 @@
 	}
 }
 
+// others returns the seeds without the process itself.
+func (m *Members) others() []string {
+	return slices.DeleteFunc(slices.Clone(m.seeds), func(a string) bool { return a == m.self.Address })
+}
+
+// unmet returns the number of seeds of which a process that started lately, and has met
+// nobody, knows nothing: it may have started behind a cut.
+func (m *Members) unmet() int {
+	if !m.contact.IsZero() || time.Duration(m.beats)*Period > forgetFactor*leastSilence {
+		return 0
+	}
+	return len(m.others())
+}
+
 // seed returns a random seed that isn't the process itself.
 func (m *Members) seed() string {
-	others := slices.DeleteFunc(slices.Clone(m.seeds), func(a string) bool { return a == m.self.Address })
+	others := m.others()
 	if len(others) == 0 {
 		return ""
 	}
@@ -232,8 +249,9 @@
 }
 
 // Missing returns the number of members of a role that were heard of lately and fell silent
-// without having said that they leave.
+// without having said that they leave, and of seeds as long as nobody was met.
 func (m *Members) Missing(now time.Time, role string) (n int) {
+	n = m.unmet()
 	for _, k := range m.all {
 		if k.record.Role == role && !k.record.Leaving && now.Sub(k.advanced) > m.silence() {
 			n++
@@ -248,9 +266,10 @@
 }
 
 // Recent returns the number of members of a role that were heard of lately,
-// dead or alive. It falls slowly, so shares of a limit that are divided by it grow only
+// dead or alive, and of seeds as long as nobody was met. It falls slowly, so shares of a limit that are divided by it grow only
 // after the dead can't use theirs any more.
 func (m *Members) Recent(role string) (n int) {
+	n = m.unmet()
 	for _, k := range m.all {
 		if k.record.Role == role {
 			n++
--- a/entry/proxy/limit.go
+++ b/entry/proxy/limit.go
@@ -88,7 +88,7 @@
 	for i, o := range p.owners(x.workspace.Name) {
 		q.StandIn = i > 0
 		if o == p.settings.VM {
-			return p.grant(p.owned(), q, p.terms(q))
+			return p.grant(p.buckets(q), q, p.terms(q))
 		}
 		if p.silent(o) {
 			continue
@@ -124,19 +124,10 @@
 	return t
 }
 
-// bucket returns the name of the bucket that a request draws on. What is granted in place
-// of an owner must not stand in the way once this entry becomes the owner.
-func bucket(q *wire.TakeRequest) string {
-	if q.StandIn {
-		return q.Workspace + " (stand-in)"
-	}
-	return q.Workspace
-}
-
 func (p *Proxy) grant(l *limits.Limits, q *wire.TakeRequest, t limits.Terms) (ok bool, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return l.Take(time.Now(), bucket(q), t, q.Tokens)
+	return l.Take(time.Now(), q.Workspace, t, q.Tokens)
 }
 
 // owners returns the entries to ask for a workspace's tokens, the first in rank first.
@@ -147,7 +138,11 @@
 	if !p.owns {
 		return nil
 	}
-	var names []string
+	return rank.Top(workspace, p.ranking(live), owners)
+}
+
+// ranking returns the names of the entries that may own limits. The lock is held.
+func (p *Proxy) ranking(live []*wire.Member) (names []string) {
 	for _, m := range live {
 		if p.refused[m.Name] != m.Incarnation {
 			names = append(names, m.Name)
@@ -157,7 +152,7 @@
 		// Others no longer ask an entry that leaves.
 		names = append(names, p.settings.VM)
 	}
-	return rank.Top(workspace, names, owners)
+	return names
 }
 
 // silent reports whether an owner lately didn't answer, so that it isn't waited for.
@@ -225,7 +220,7 @@
 			return r, nil
 		}
 	}
-	ok, wait := p.grant(p.owned(), q, p.terms(q))
+	ok, wait := p.grant(p.buckets(q), q, p.terms(q))
 	return &wire.TakeReply{Granted: ok, WaitMicros: wait.Microseconds()}, nil
 }
 
@@ -256,9 +251,23 @@
 	})
 }
 
-// owned returns the buckets that this entry owns.
-func (p *Proxy) owned() *limits.Limits {
+// buckets returns those that a request draws on. What is granted in place of an owner must
+// not stand in the way once this entry becomes the owner.
+func (p *Proxy) buckets(q *wire.TakeRequest) *limits.Limits {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if q.StandIn {
+		return p.standIns
+	}
 	return p.limits
 }
+
+// disown forgets the buckets of workspaces for which another entry ranks first. The lock is
+// held.
+func (p *Proxy) disown(live []*wire.Member) {
+	names := p.ranking(live)
+	p.limits.Keep(func(w string) bool {
+		top := rank.Top(w, names, 1)
+		return len(top) == 1 && top[0] == p.settings.VM
+	})
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -97,8 +97,10 @@
 	// book is the list of upstreams as it was last listed.
 	book   *digest.Book
 	picker *picker.Picker
-	// limits are the buckets that this entry owns; alone are those of its own.
+	// limits are the buckets that this entry owns, standIns those that it grants from in place
+	// of an owner, alone those of its own.
 	limits   *limits.Limits
+	standIns *limits.Limits
 	alone    *limits.Limits
 	advances limits.Advances
 	// owns is false while this entry hears too few others to grant as an owner.
@@ -141,6 +143,7 @@
 		book:       digest.New(),
 		picker:     picker.New(s.DataCentre, uint64(now.UnixNano())),
 		limits:     limits.New(),
+		standIns:   limits.New(),
 		alone:      limits.New(),
 		unreached:  map[string]time.Time{},
 		refused:    map[string]int64{},
@@ -258,6 +261,7 @@
 // meet takes in who is live.
 func (p *Proxy) meet() {
 	p.follow(p.mesh.Live(mesh.Agent))
+	live := p.mesh.Live(mesh.Entry)
 	heard, missing := p.mesh.Heard(mesh.Entry)
 	owns := limits.MayOwn(1+heard, missing) && !p.mesh.Isolated()
 	p.mu.Lock()
@@ -266,7 +270,8 @@
 		p.log.WithFields(logrus.Fields{"event": "owning", "owns": owns, "heard": heard, "missing": missing}).Info("limit")
 	}
 	if p.owns && !owns {
-		p.limits = limits.New()
+		p.limits, p.standIns = limits.New(), limits.New()
 	}
 	p.owns = owns
+	p.disown(live)
 }
