--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -34,8 +34,8 @@
 	// apart is the speed at which prefill engines read, own that of engines of answers.
 	apart speed
 	own   speed
-	// returns tell callers that come back, by route.
-	returns map[string]*returns
+	// retries tell callers that come back, by route.
+	retries map[string]*retries
 	// runTime is the average time of an answer from its place to its end.
 	runTime float64
 	// alone counts the tokens that this entry holds at an instance without its agent.
@@ -43,7 +43,7 @@
 }
 
 func newEngines() *engines {
-	return &engines{returns: map[string]*returns{}, alone: map[string]int64{}}
+	return &engines{retries: map[string]*retries{}, alone: map[string]int64{}}
 }
 
 // learnRun takes in the time of a whole answer.
@@ -75,10 +75,10 @@
 	if left <= 0 {
 		return 0
 	}
-	r := e.returns[route]
+	r := e.retries[route]
 	if r == nil {
-		r = newReturns()
-		e.returns[route] = r
+		r = newRetries()
+		e.retries[route] = r
 	}
 	r.add(left)
 	return r.waited(left)
--- a/entry/proxy/returns.go
+++ b/entry/proxy/retries.go
@@ -18,23 +18,23 @@
 	reach = 2
 )
 
-// returns tells callers that come back from those that come first, by the time that they
+// retries tells callers that come back from those that come first, by the time that they
 // will wait: one that comes back has less left than first attempts have.
 //
 // It answers callers whose limits vary by themselves: who is taken for late though he isn't
 // goes behind all others, and is late then.
-type returns struct {
+type retries struct {
 	limits *recent.Samples[time.Duration]
 }
 
-func newReturns() *returns { return &returns{recent.New[time.Duration](waitSamples)} }
+func newRetries() *retries { return &retries{recent.New[time.Duration](waitSamples)} }
 
 // add takes in the time limit of an attempt.
-func (r *returns) add(left time.Duration) { r.limits.Add(left) }
+func (r *retries) add(left time.Duration) { r.limits.Add(left) }
 
 // waited returns how long a caller with a time limit has waited at least before this
 // attempt, if most attempts are first ones.
-func (r *returns) waited(left time.Duration) time.Duration {
+func (r *retries) waited(left time.Duration) time.Duration {
 	m := r.limits.Quantile(middle)
 	least := m - reach*(r.limits.Quantile(upper)-m)
 	return max(0, least-left)
