--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -265,9 +265,9 @@
 	return len(m.all) > 0 && now.Sub(m.contact) > isolation
 }
 
-// Recent returns the number of members of a role that were heard of lately,
-// dead or alive, and of seeds as long as nobody was met. It falls slowly, so shares of a limit that are divided by it grow only
-// after the dead can't use theirs any more.
+// Recent returns the number of members of a role that were heard of lately, dead or alive,
+// and of seeds as long as nobody was met. It falls slowly, so shares of a limit that are
+// divided by it grow only after the dead can't use theirs any more.
 func (m *Members) Recent(role string) (n int) {
 	n = m.unmet()
 	for _, k := range m.all {
