entry/proxy: heartbeats don't wait for the entry's lock

Cause: updateSelf took the entry's lock while the mesh's was held; requests that look for a place on an engine whose agent is silent take them in the other order (agentlessRoom). Where both met, the entry's heartbeats and all its requests stood still until it was killed. Found by reading while engines without agents were being worked on. The record needs no lock: the only field that changes is atomic.

--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -261,12 +261,10 @@
 	return p.mesh.Gossip(ctx, q)
 }
 
-// updateSelf updates this entry's membership record before a heartbeat.
-func (p *Proxy) updateSelf(self *wire.Member) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	self.Leaving = p.draining.Load()
-}
+// updateSelf updates this entry's membership record before a heartbeat. It is called with the
+// lock of the mesh held. Requests take that lock while they hold p.mu, so p.mu must not be taken
+// here.
+func (p *Proxy) updateSelf(self *wire.Member) { self.Leaving = p.draining.Load() }
 
 // afterHeartbeat updates subscriptions and the ownership of limits after a heartbeat.
 func (p *Proxy) afterHeartbeat() {
