entry, coord: entries manage engines that have no agent

Cause: places, stages and orders existed only where an agent ran beside the engine. Without one, each entry used a fixed share of 0.7 of the engine's memory, or, if it ranked first, all of it.

Ruled out: runners that reject half of what arrives.

Change: agent/grants' decisions moved to coord/admit (Manager), which an agent runs for its engine and an entry for each engine that has none. coord/assign chooses the entry, by rank among the live ones of at least half of the largest capacity; it begins 1 s after it became the first choice, gives orders 4 s after, stops at once without a quorum. coord/place learns to work with reports that are polled once a second and are 0.9 s old: growth is projected, and a released run that an old report still lists isn't taken for a new one. Fencing tokens grow with the time since the start of the process, so that one holder's follow another's. An engine that was ever given an order isn't ordered again in the startup period of a new manager.

An engine without an agent is served like one with.

--- a/agent/grants/grants_test.go
+++ b/coord/admit/admit_test.go
@@ -1,4 +1,4 @@
-package grants
+package admit
 
 import (
 	"testing"
@@ -9,10 +9,10 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// TestMemberShowsOrderedStage checks the stage in the agent's membership record. While the
-// engine changes its stage, the record must show the new one: other agents that saw the old
-// stage would order their engines to change too.
-func TestMemberShowsOrderedStage(t *testing.T) {
+// TestAnnouncedStage checks the stage that other managers are told. While the engine changes its
+// stage, it must be the new one: managers that saw the old stage would order their engines to
+// change too.
+func TestAnnouncedStage(t *testing.T) {
 	now := time.Now()
 	for _, c := range []struct {
 		name         string
@@ -26,14 +26,13 @@
 		{"changing", now, true, wire.Stage_STAGE_DECODE, wire.Stage_STAGE_DECODE},
 		{"changing by an order that this process did not send", now, true, wire.Stage_STAGE_UNKNOWN, wire.Stage_STAGE_PREFILL},
 	} {
-		e := &EngineAgent{
+		m := &Manager{
+			reportTTL:    reportTTL,
 			reportedAt:   c.reportedAt,
 			orderedStage: c.orderedStage,
 			report:       calls.EngineReport{Stage: wire.Stage_STAGE_PREFILL, Busy: c.busy},
 		}
-		self := &wire.Member{}
-		e.updateMember(self)
-		if d := cmp.Diff(c.want, self.Stage); d != "" {
+		if d := cmp.Diff(c.want, m.AnnouncedStage()); d != "" {
 			t.Errorf("%s (-want +got):\n%s", c.name, d)
 		}
 	}
--- a/agent/grants/hold.go
+++ b/coord/admit/hold.go
@@ -1,43 +1,45 @@
-package grants
+package admit
 
 import (
 	"time"
 
 	"cranberrypoint.example/coord/place"
 	"cranberrypoint.example/coord/wire"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
+// errStopped means that the manager stopped during a call.
+var errStopped = eris.New("the engine's manager stopped")
+
 // Hold reserves a place for a run, or counts a prompt that the engine is to prefill in the
 // backlog, until the entry closes the stream. Tying the reservation to the stream frees it
 // however the run ends, also if the entry dies.
 //
-// The entry's first message is the request; the reply grants or refuses it. A later message
-// tells whether the engine's output for the run was complete.
-func (e *EngineAgent) Hold(s wire.DRPCMesh_HoldStream) error {
-	q, err := s.Recv()
-	if err != nil {
-		return err
-	}
+// The entry's first message, which the caller has received, is the request q; the reply grants
+// or refuses it. A later message tells whether the engine's output for the run was complete.
+func (m *Manager) Hold(q *wire.HoldRequest, s wire.DRPCMesh_HoldStream) error {
 	if q.Prefill {
-		return e.holdPrefill(s, q)
+		return m.holdPrefill(s, q)
 	}
 	c := make(chan place.Outcome, 1)
 	began := time.Now()
-	e.requestPlace(q, c)
-	defer e.releasePlace(q.Request, c)
+	m.requestPlace(q, c)
+	defer m.releasePlace(q.Request, c)
 	var o place.Outcome
 	select {
 	case o = <-c:
 	case <-s.Context().Done():
 		return s.Context().Err()
+	case <-m.ctx.Done():
+		return errStopped
 	}
-	e.recordOutcome(q, o, time.Since(began))
+	m.recordOutcome(q, o, time.Since(began))
 	if err := s.Send(holdReply(o)); err != nil || !o.Granted {
 		return err
 	}
 	if awaitClose(s) {
-		e.completeRun(q.Request)
+		m.completeRun(q.Request)
 	}
 	return nil
 }
@@ -56,24 +58,24 @@
 
 // completeRun frees the place of a run whose output was complete, and lets the ledger learn
 // the output's length. A later releasePlace finds no place left to free.
-func (e *EngineAgent) completeRun(request string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.deliver(e.ledger.Complete(time.Now(), request))
+func (m *Manager) completeRun(request string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.deliver(m.ledger.Complete(time.Now(), request))
 }
 
 // requestPlace asks the ledger for a place. The outcome is sent on c, at once or later.
-func (e *EngineAgent) requestPlace(q *wire.HoldRequest, c chan place.Outcome) {
+func (m *Manager) requestPlace(q *wire.HoldRequest, c chan place.Outcome) {
 	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.report.Stage != requestedStage(q) || !e.healthy(now) {
-		c <- place.Outcome{RequestID: q.Request, Reason: "the engine serves another stage or is silent", RetryAt: now.Add(reportTTL)}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.report.Stage != requestedStage(q) || !m.healthy(now) {
+		c <- place.Outcome{RequestID: q.Request, Reason: "the engine serves another stage or is silent", RetryAt: now.Add(m.reportTTL)}
 		return
 	}
-	e.waiters[q.Request] = c
+	m.waiters[q.Request] = c
 	// Each request carries the configured size of the engine's batch.
-	e.ledger.SetSlots(int(q.Slots))
+	m.ledger.SetSlots(int(q.Slots))
 	a := place.Request{
 		ID:           q.Request,
 		PromptTokens: q.Prompt,
@@ -84,32 +86,39 @@
 	if q.TimelyMicros > 0 {
 		a.StartBy = now.Add(microseconds(q.TimelyMicros))
 	}
-	e.deliver(e.ledger.Submit(now, a))
-	e.notifyFollowers()
+	m.deliver(m.ledger.Submit(now, a))
+	m.notifyFollowers()
+	if m.waiters[q.Request] == nil {
+		return
+	}
+	select {
+	case m.queued <- struct{}{}:
+	default:
+	}
 }
 
 // releasePlace frees a request's place or ends its wait, unless another stream with the
 // same request id waits by now.
-func (e *EngineAgent) releasePlace(request string, c chan place.Outcome) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if w := e.waiters[request]; w != nil && w != c {
+func (m *Manager) releasePlace(request string, c chan place.Outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if w := m.waiters[request]; w != nil && w != c {
 		return
 	}
-	delete(e.waiters, request)
-	e.deliver(e.ledger.Release(time.Now(), request))
-	e.notifyFollowers()
+	delete(m.waiters, request)
+	m.deliver(m.ledger.Release(time.Now(), request))
+	m.notifyFollowers()
 }
 
 // holdPrefill counts a prompt in the backlog until the entry closes the stream, or refuses
 // it if the engine can't prefill it now.
-func (e *EngineAgent) holdPrefill(s wire.DRPCMesh_HoldStream, q *wire.HoldRequest) error {
-	ok := e.beginPrefill(q)
-	e.metrics.prompts.WithLabelValues(boolLabel(ok)).Inc()
+func (m *Manager) holdPrefill(s wire.DRPCMesh_HoldStream, q *wire.HoldRequest) error {
+	ok := m.beginPrefill(q)
+	m.settings.Metrics.prompts.WithLabelValues(boolLabel(ok)).Inc()
 	if !ok {
 		return s.Send(&wire.HoldReply{Reason: "another prompt is read beside the answers"})
 	}
-	defer e.endPrefill(q)
+	defer m.endPrefill(q)
 	if err := s.Send(&wire.HoldReply{Granted: true}); err != nil {
 		return err
 	}
@@ -121,43 +130,45 @@
 // to the backlog. A prefill engine always may. On a decode engine, localPrefill decides from
 // the number of other runs. The run of the same request isn't one of them, but has its place
 // already and is therefore subtracted.
-func (e *EngineAgent) beginPrefill(q *wire.HoldRequest) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.report.Stage == wire.Stage_STAGE_DECODE && !e.localPrefill.Begin(time.Now(), q.Request, e.ledger.Running()-1) {
+func (m *Manager) beginPrefill(q *wire.HoldRequest) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.report.Stage == wire.Stage_STAGE_DECODE && !m.localPrefill.Begin(time.Now(), q.Request, m.ledger.Running()-1) {
 		return false
 	}
-	e.backlog += q.Prompt
-	e.notifyFollowers()
+	m.backlog += q.Prompt
+	m.notifyFollowers()
 	return true
 }
 
-func (e *EngineAgent) endPrefill(q *wire.HoldRequest) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.localPrefill.End(time.Now(), q.Request)
-	e.backlog -= q.Prompt
-	e.notifyFollowers()
+func (m *Manager) endPrefill(q *wire.HoldRequest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.localPrefill.End(time.Now(), q.Request)
+	m.backlog -= q.Prompt
+	m.notifyFollowers()
 }
 
 // Follow sends the state minStateInterval after each change that closes stateChanged, and in
-// addition every maxStateInterval.
-func (e *EngineAgent) Follow(_ *wire.FollowRequest, s wire.DRPCMesh_FollowStream) error {
+// addition every maxStateInterval, until the stream or the manager ends.
+func (m *Manager) Follow(s wire.DRPCMesh_FollowStream) error {
 	t := time.NewTicker(maxStateInterval)
 	defer t.Stop()
 	for {
-		e.mu.Lock()
-		m, c := e.state(), e.stateChanged
-		e.mu.Unlock()
-		if err := s.Send(m); err != nil {
+		m.mu.Lock()
+		state, changed := m.state(), m.stateChanged
+		m.mu.Unlock()
+		if err := s.Send(state); err != nil {
 			return err
 		}
 		select {
-		case <-c:
+		case <-changed:
 			time.Sleep(minStateInterval)
 		case <-t.C:
 		case <-s.Context().Done():
 			return nil
+		case <-m.ctx.Done():
+			return errStopped
 		}
 	}
 }
@@ -171,15 +182,15 @@
 }
 
 // recordOutcome counts and logs the outcome of a place request.
-func (e *EngineAgent) recordOutcome(q *wire.HoldRequest, o place.Outcome, waited time.Duration) {
-	e.metrics.placeRequests.WithLabelValues(boolLabel(o.Granted), o.Reason).Inc()
-	e.metrics.waits.WithLabelValues(boolLabel(o.Granted)).Observe(waited.Seconds())
-	e.mu.Lock()
-	s := e.ledger.State()
-	age := time.Since(e.reportedAt)
-	e.mu.Unlock()
-	e.log.WithFields(logrus.Fields{
-		"event": "place", "request": q.Request, "prompt": q.Prompt, "most": q.Most, "granted": o.Granted,
+func (m *Manager) recordOutcome(q *wire.HoldRequest, o place.Outcome, waited time.Duration) {
+	m.settings.Metrics.placeRequests.WithLabelValues(boolLabel(o.Granted), o.Reason).Inc()
+	m.settings.Metrics.waits.WithLabelValues(boolLabel(o.Granted)).Observe(waited.Seconds())
+	m.mu.Lock()
+	s := m.ledger.State(time.Now())
+	age := time.Since(m.reportedAt)
+	m.mu.Unlock()
+	m.log.WithFields(logrus.Fields{
+		"event": "place", "engine": m.settings.Upstream, "request": q.Request, "prompt": q.Prompt, "most": q.Most, "granted": o.Granted,
 		"reason": o.Reason, "waited-ms": waited.Milliseconds(), "running": s.Running, "waiting": s.Waiting,
 		"room": s.MaxPromptTokens, "report-age-ms": age.Milliseconds(),
 	}).Info("place request granted or refused")
--- a/agent/grants/metrics.go
+++ b/coord/admit/metrics.go
@@ -1,4 +1,4 @@
-package grants
+package admit
 
 import (
 	"strconv"
@@ -7,8 +7,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-type metrics struct {
-	registry *prometheus.Registry
+// Metrics counts what the managers of a process decide. Use NewMetrics.
+type Metrics struct {
 	// placeRequests counts the requests that were granted or refused. A request whose stream
 	// ends while it waits isn't counted.
 	placeRequests *prometheus.CounterVec
@@ -18,10 +18,9 @@
 	orders        *prometheus.CounterVec
 }
 
-func newMetrics() *metrics {
-	r := opsrv.NewRegistry()
-	return &metrics{
-		registry:      r,
+// NewMetrics returns metrics that are registered with r, which can be done once.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	return &Metrics{
 		placeRequests: opsrv.Counters(r, "grants_places_total", "Place requests that were granted or refused.", "granted", "reason"),
 		waits:         opsrv.Latencies(r, "grants_wait_seconds", "Time from a place request to its grant or refusal.", "granted"),
 		prompts:       opsrv.Counters(r, "grants_prompts_total", "Prompts that entries asked the engine to prefill.", "granted"),
--- a/coord/calls/calls.go
+++ b/coord/calls/calls.go
@@ -116,8 +116,11 @@
 // Order tells an engine to change its stage, such as from prefill to decode.
 type Order struct {
 	Stage wire.Stage
-	// Holder names the VM of the agent that gives the order.
+	// Holder names the VM of the process that gives the order.
 	Holder string
+	// Instance is the engine's instance. If it isn't empty, another instance at the same address
+	// must refuse the order.
+	Instance string
 	// Fence is the fencing token. The token of a new holder is larger than those of earlier
 	// holders, and that of one holder grows across its restarts.
 	Fence int64
@@ -127,14 +130,14 @@
 	ExpectedAcceptedOrders int64
 }
 
-// EngineCodec translates the messages between an agent and its engine.
+// EngineCodec translates the messages between an engine and its manager.
 type EngineCodec interface {
 	// ReportPath returns the path of the status poll.
 	ReportPath() string
 	// Report parses the body of the response to a status poll.
 	Report(body []byte) (EngineReport, error)
-	// Order returns the path and body of the request that gives an order.
-	Order(o Order) (path string, body []byte, err error)
+	// Order returns the path, the header and the body of the request that gives an order.
+	Order(o Order) (path string, h http.Header, body []byte, err error)
 }
 
 // Listing is the content of the platform's store.
--- a/coord/mesh/mesh.go
+++ b/coord/mesh/mesh.go
@@ -37,8 +37,11 @@
 	tasks tasks.Group
 	ctx   context.Context
 
-	mu      sync.Mutex
-	members *member.Members
+	mu        sync.Mutex
+	members   *member.Members
+	startedAt time.Time
+	// lastFence is the last fencing token that NextFence returned.
+	lastFence int64
 	// lastLive holds the names of the members that were live at the last heartbeat. Only the
 	// heartbeat goroutine uses it.
 	lastLive        map[string]bool
@@ -66,6 +69,7 @@
 		pool:            p,
 		log:             l,
 		members:         member.New(self, seeds, uint64(time.Now().UnixNano()) /* randSeed */),
+		startedAt:       time.Now(),
 		lastLive:        map[string]bool{},
 		beforeHeartbeat: func(*wire.Member) {},
 		afterHeartbeat:  func() {},
@@ -200,6 +204,17 @@
 	return m.members.Self()
 }
 
+// NextFence returns a fencing token: the time of day in milliseconds, as it was at the start of
+// the process, and the time since by the steady clock. So tokens grow with each call, over
+// restarts, and from one process to another that takes over later. A jump of the time of day
+// while the process runs doesn't change them.
+func (m *Mesh) NextFence() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastFence = max(m.lastFence+1, m.members.Self().Incarnation+time.Since(m.startedAt).Milliseconds())
+	return m.lastFence
+}
+
 // SetSeeds replaces the addresses of members to contact first.
 func (m *Mesh) SetSeeds(s []string) {
 	m.mu.Lock()
--- a/coord/place/bench_test.go
+++ b/coord/place/bench_test.go
@@ -36,6 +36,6 @@
 		s.Submit(epoch, newRequest(fmt.Sprint(i), 5000, 11570, time.Second, time.Second))
 	}
 	for b.Loop() {
-		s.State()
+		s.State(epoch)
 	}
 }
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -24,12 +24,6 @@
 )
 
 const (
-	// firstReportTimeout is how long the engine may take to report a granted run for the
-	// first time before the run counts as ended.
-	firstReportTimeout = 5 * time.Second
-	// reportTimeout is how long a run that was reported may be missing from the reports
-	// before it counts as ended.
-	reportTimeout = 300 * time.Millisecond
 	// initialStepTime is the assumed duration of a step of the batch until one is observed.
 	initialStepTime = time.Millisecond
 	// initialAvgTokens is the initial value of two averages: of the maximum answer lengths that
@@ -74,22 +68,6 @@
 	ReasonWaitExpired = "no place came free in time"
 )
 
-// RunUsage is the memory usage of a run that an engine reports.
-type RunUsage struct {
-	RequestID string
-	// Tokens is the part of the KV cache that the run holds.
-	Tokens int64
-}
-
-// Report is a status report of an engine.
-type Report struct {
-	// MemoryTokens is the size of the engine's KV cache.
-	MemoryTokens int64
-	Runs         []RunUsage
-	// StartUnixMillis is the start time of the engine. It changes when the engine restarts.
-	StartUnixMillis int64
-}
-
 // run is a granted request that the engine processes.
 type run struct {
 	promptTokens int64
@@ -121,12 +99,27 @@
 	avgMaxTokens    float64
 	avgPromptTokens float64
 	lastReport      time.Time
+	// reportLag is the age of what a report says when it arrives.
+	reportLag time.Duration
+	// ignoreUntil holds, for each released run, the time until which reports that list it may
+	// be older than the release. It is empty without a reportLag.
+	ignoreUntil map[string]time.Time
+}
+
+// Option configures a Scheduler.
+type Option func(*Scheduler)
+
+// WithReportLag tells the scheduler that reports describe the engine as it was up to lag
+// before they arrive. The scheduler then projects the growth of the runs up to now, and does
+// not take a run for a new one that was released since.
+func WithReportLag(lag time.Duration) Option {
+	return func(s *Scheduler) { s.reportLag = lag }
 }
 
 // New returns a scheduler that grants nothing until the engine has reported its memory.
-func New() *Scheduler {
+func New(opts ...Option) *Scheduler {
 	r := rand.New(rand.NewPCG(1, 2))
-	return &Scheduler{
+	s := &Scheduler{
 		slots:              defaultSlots,
 		runs:               map[string]*run{},
 		lengths:            newLengthModel(),
@@ -135,7 +128,12 @@
 		stepTime:           initialStepTime,
 		avgMaxTokens:       initialAvgTokens,
 		avgPromptTokens:    initialAvgTokens,
+		ignoreUntil:        map[string]time.Time{},
+	}
+	for _, o := range opts {
+		o(s)
 	}
+	return s
 }
 
 // SetSlots sets the size of the engine's batch.
@@ -153,7 +151,7 @@
 	if s.memoryTokens > 0 && peakTokens([]growth{{r.PromptTokens, r.MaxTokens}}) > s.memoryTokens {
 		return []Outcome{{RequestID: r.ID, Reason: ReasonTooLarge, RetryAt: now}}
 	}
-	if w := s.expectedWait(s.candidate(r), s.queuedAhead(now, r)); now.Add(w).After(r.ExpiresAt) {
+	if w := s.expectedWait(now, s.candidate(r), s.queuedAhead(now, r)); now.Add(w).After(r.ExpiresAt) {
 		return []Outcome{{RequestID: r.ID, Reason: ReasonNoPlace, RetryAt: now.Add(w)}}
 	}
 	s.queue = append(s.queue, r)
@@ -172,8 +170,8 @@
 
 // expectedWait returns the time until a candidate is expected to fit. The parameter ahead is
 // the number of requests that are queued before it.
-func (s *Scheduler) expectedWait(c candidate, ahead int) time.Duration {
-	p := s.plan()
+func (s *Scheduler) expectedWait(now time.Time, c candidate, ahead int) time.Duration {
+	p := s.plan(now)
 	if ahead == 0 && p.fits(c) {
 		return 0
 	}
@@ -183,15 +181,16 @@
 // medianQuantile is the quantile of the answer lengths from which waits are estimated.
 const medianQuantile = 0.5
 
-// plan returns how the memory of the granted runs may grow.
-func (s *Scheduler) plan() *plan {
+// plan returns how the memory of the granted runs may grow from now on.
+func (s *Scheduler) plan(now time.Time) *plan {
 	p := &plan{memoryTokens: s.memoryTokens, slots: s.slots}
 	for _, r := range s.runs {
-		generated := r.usedTokens - r.promptTokens
+		used := s.currentTokens(now, r)
+		generated := used - r.promptTokens
 		for i := range p.scenarios {
-			p.scenarios[i] = append(p.scenarios[i], growth{r.usedTokens, s.lengths.remainingTokens(generated, r.maxTokens, r.lengthQuantiles[i])})
+			p.scenarios[i] = append(p.scenarios[i], growth{used, s.lengths.remainingTokens(generated, r.maxTokens, r.lengthQuantiles[i])})
 		}
-		p.expected = append(p.expected, growth{r.usedTokens, s.lengths.remainingTokens(generated, r.maxTokens, medianQuantile)})
+		p.expected = append(p.expected, growth{used, s.lengths.remainingTokens(generated, r.maxTokens, medianQuantile)})
 	}
 	return p
 }
@@ -230,14 +229,14 @@
 		if now.Before(r.ExpiresAt) {
 			return false
 		}
-		w := s.expectedWait(s.candidate(r), 0)
+		w := s.expectedWait(now, s.candidate(r), 0)
 		out = append(out, Outcome{RequestID: r.ID, Reason: ReasonWaitExpired, RetryAt: now.Add(w)})
 		return true
 	})
 	slices.SortStableFunc(s.queue, func(a, b Request) int { return compareRequests(now, a, b) })
 	for len(s.queue) > 0 {
 		r := s.queue[0]
-		if !s.plan().fits(s.candidate(r)) {
+		if !s.plan(now).fits(s.candidate(r)) {
 			break
 		}
 		s.queue = s.queue[1:]
@@ -249,6 +248,9 @@
 
 // Release frees the place of a request or removes it from the queue.
 func (s *Scheduler) Release(now time.Time, id string) []Outcome {
+	if s.runs[id] != nil && s.reportLag > 0 {
+		s.ignoreUntil[id] = now.Add(s.reportLag + cancelTime)
+	}
 	delete(s.runs, id)
 	s.queue = slices.DeleteFunc(s.queue, func(r Request) bool { return r.ID == id })
 	return s.Tick(now)
@@ -256,73 +258,12 @@
 
 // Complete frees the place of a run whose answer was complete and learns its length.
 func (s *Scheduler) Complete(now time.Time, id string) []Outcome {
-	if r := s.runs[id]; r != nil && !r.lastReported.IsZero() {
-		s.lengths.add(r.usedTokens-r.promptTokens, r.maxTokens)
+	if r := s.runs[id]; r != nil && (s.reportLag > 0 || !r.lastReported.IsZero()) {
+		s.lengths.add(s.currentTokens(now, r)-r.promptTokens, r.maxTokens)
 	}
 	return s.Release(now, id)
 }
 
-// Observe applies a report of the engine: the size of its memory, and the memory that each
-// run holds, which never decreases. Runs that are missing from the reports for too long count
-// as ended.
-func (s *Scheduler) Observe(now time.Time, r Report) []Outcome {
-	if r.StartUnixMillis != s.startUnixMillis {
-		// The engine has restarted, so its runs are gone.
-		clear(s.runs)
-		s.startUnixMillis = r.StartUnixMillis
-	}
-	s.memoryTokens = r.MemoryTokens
-	s.updateStepTime(now, r)
-	for _, u := range r.Runs {
-		s.updateRun(now, u)
-	}
-	for id, x := range s.runs {
-		if s.hasEnded(now, x) {
-			delete(s.runs, id)
-		}
-	}
-	s.lastReport = now
-	return s.Tick(now)
-}
-
-// updateRun records the reported usage of a run. For a run that isn't known, such as one that
-// was granted before this process restarted, all reported tokens count as its prompt, and
-// its maximum answer length is assumed to be the average of the requests.
-func (s *Scheduler) updateRun(now time.Time, u RunUsage) {
-	r := s.runs[u.RequestID]
-	if r == nil {
-		r = &run{promptTokens: u.Tokens, usedTokens: u.Tokens, maxTokens: int64(s.avgMaxTokens), lengthQuantiles: newQuantiles(s.rand), grantedAt: now}
-		s.runs[u.RequestID] = r
-	}
-	r.usedTokens = max(r.usedTokens, u.Tokens)
-	r.lastReported = now
-}
-
-// hasEnded reports whether a run has been missing from the reports for too long.
-func (s *Scheduler) hasEnded(now time.Time, r *run) bool {
-	if r.lastReported.IsZero() {
-		return now.Sub(r.grantedAt) > firstReportTimeout
-	}
-	return now.Sub(r.lastReported) > reportTimeout
-}
-
-// updateStepTime estimates the duration of a step from the growth of the runs since the
-// last report: each run grows by one token in a step.
-func (s *Scheduler) updateStepTime(now time.Time, r Report) {
-	passed := now.Sub(s.lastReport)
-	if s.lastReport.IsZero() || passed <= 0 {
-		return
-	}
-	for _, u := range r.Runs {
-		known := s.runs[u.RequestID]
-		if known == nil || known.lastReported != s.lastReport || u.Tokens <= known.usedTokens {
-			continue
-		}
-		step := passed / time.Duration(u.Tokens-known.usedTokens)
-		s.stepTime += time.Duration(ewmaWeight * float64(step-s.stepTime))
-	}
-}
-
 // Running returns the number of runs that have a place.
 func (s *Scheduler) Running() int { return len(s.runs) }
 
@@ -339,8 +280,8 @@
 	ExpectedWait time.Duration
 }
 
-// State returns the current state.
-func (s *Scheduler) State() State {
+// State returns the state at a time.
+func (s *Scheduler) State(now time.Time) State {
 	c := s.candidate(Request{PromptTokens: int64(s.avgPromptTokens), MaxTokens: int64(s.avgMaxTokens)})
 	st := State{
 		Running:      len(s.runs),
@@ -349,10 +290,10 @@
 		Slots:        s.slots,
 	}
 	if st.Waiting == 0 {
-		st.MaxPromptTokens = s.plan().maxPromptTokens(c)
+		st.MaxPromptTokens = s.plan(now).maxPromptTokens(c)
 	}
 	if st.MaxPromptTokens < int64(s.avgPromptTokens) {
-		st.ExpectedWait = s.expectedWait(c, len(s.queue))
+		st.ExpectedWait = s.expectedWait(now, c, len(s.queue))
 	}
 	return st
 }
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -135,17 +135,17 @@
 	s.Observe(now, Report{MemoryTokens: 1000, StartUnixMillis: 1, Runs: []RunUsage{{"a", 110}}})
 	now = now.Add(reportTimeout + time.Millisecond)
 	s.Observe(now, Report{MemoryTokens: 1000, StartUnixMillis: 1})
-	if d := cmp.Diff(1, s.State().Running); d != "" {
+	if d := cmp.Diff(1, s.State(now).Running); d != "" {
 		t.Errorf("running after a disappeared from the reports (-want +got):\n%s", d)
 	}
 	now = now.Add(firstReportTimeout)
 	s.Observe(now, Report{MemoryTokens: 1000, StartUnixMillis: 1})
-	if d := cmp.Diff(0, s.State().Running); d != "" {
+	if d := cmp.Diff(0, s.State(now).Running); d != "" {
 		t.Errorf("running after b was never reported (-want +got):\n%s", d)
 	}
 	s.Submit(now, Request{ID: "c", PromptTokens: 100, MaxTokens: 100, ExpiresAt: now.Add(time.Second)})
 	s.Observe(now, Report{MemoryTokens: 1000, StartUnixMillis: 2})
-	if d := cmp.Diff(0, s.State().Running); d != "" {
+	if d := cmp.Diff(0, s.State(now).Running); d != "" {
 		t.Errorf("running after a restart (-want +got):\n%s", d)
 	}
 }
--- a/coord/stages/stages.go
+++ b/coord/stages/stages.go
@@ -24,9 +24,9 @@
 const (
 	// prefillFraction is the fraction of the engines that should serve prefill.
 	prefillFraction = 0.25
-	// startupStableTime is how long a decision must be stable during the startupPeriod. It is
-	// short because an engine that started together with its agent has no requests yet that a
-	// change would interrupt.
+	// startupStableTime is how long a decision must be stable during the startupPeriod, for an
+	// engine that was given no order yet. It is short because an engine that started together
+	// with its agent has no requests yet that a change would interrupt.
 	startupStableTime = 1500 * time.Millisecond
 	// stableTime is how long a decision must be stable after the startupPeriod.
 	stableTime = 12 * time.Second
@@ -74,8 +74,9 @@
 
 // Decide returns the stage to order for this agent's engine, if any. Peers are all agents
 // of the service, this one included; those with another stage than prefill or decode are
-// ignored.
-func (b *Balancer) Decide(now time.Time, peers []Peer) (to wire.Stage, ok bool) {
+// ignored. ordered tells whether the engine has accepted an order, of any process, since it
+// started. Such an engine may be serving the stage that it was ordered to.
+func (b *Balancer) Decide(now time.Time, peers []Peer, ordered bool) (to wire.Stage, ok bool) {
 	want, engines := b.stageChange(peers)
 	// Without the comparison of the engine count, agents that start one after another would
 	// decide on the basis of a part of the engines.
@@ -86,7 +87,7 @@
 		return want, false
 	}
 	minStable := stableTime
-	if now.Sub(b.startedAt) < startupPeriod {
+	if !ordered && now.Sub(b.startedAt) < startupPeriod {
 		minStable = startupStableTime
 	}
 	if now.Sub(b.pendingSince) < minStable || !b.lastOrder.IsZero() && now.Sub(b.lastOrder) < minOrderInterval {
--- a/coord/stages/stages_test.go
+++ b/coord/stages/stages_test.go
@@ -18,6 +18,7 @@
 func simulate(engines int, initial []int, d time.Duration, alive func(i int, now time.Time) bool) (prefills, orders int) {
 	stage := make([]wire.Stage, engines)
 	agents := make([]*Balancer, engines)
+	ordered := make([]bool, engines)
 	for i := range stage {
 		stage[i] = wire.Stage_STAGE_DECODE
 		if slices.Contains(initial, i) {
@@ -36,8 +37,9 @@
 			if !alive(i, now) {
 				continue
 			}
-			if to, ok := agents[i].Decide(now, peers); ok {
+			if to, ok := agents[i].Decide(now, peers, ordered[i]); ok {
 				stage[i] = to
+				ordered[i] = true
 				orders++
 			}
 		}
@@ -93,3 +95,23 @@
 		t.Errorf("prefill engines and orders (-want +got):\n%s", d)
 	}
 }
+
+// TestNewManagerLeavesOrderedEngine replays a manager that starts while the engine serves the
+// stage that another manager ordered a moment ago. It must not order the engine back before it
+// has seen for as long as usual that the split doesn't fit.
+func TestNewManagerLeavesOrderedEngine(t *testing.T) {
+	peers := []Peer{{"a", wire.Stage_STAGE_PREFILL}, {"b", wire.Stage_STAGE_PREFILL}}
+	for _, ordered := range []bool{false, true} {
+		b := New(epoch, "b")
+		var at time.Duration
+		for d := time.Duration(0); d < time.Minute && at == 0; d += 500 * time.Millisecond {
+			if _, ok := b.Decide(epoch.Add(d), peers, ordered); ok {
+				at = d
+			}
+		}
+		want := map[bool]time.Duration{false: startupStableTime, true: stableTime}[ordered]
+		if d := cmp.Diff(want, at); d != "" {
+			t.Errorf("ordered before: %t; time of the order (-want +got):\n%s", ordered, d)
+		}
+	}
+}
--- a/entry/proxy/follow.go
+++ b/entry/proxy/follow.go
@@ -24,9 +24,25 @@
 	minSubscriptionsPerService = 12
 )
 
-// subscription holds the state that one agent streams of its engine.
+// engineManager identifies the process that manages an engine: its agent, or the entry that
+// manages an engine without an agent.
+type engineManager struct {
+	// name is unique among managers: the agent's VM, or the instance of an engine without one.
+	name string
+	// process is the name of the process, and incarnation that of its run.
+	process     string
+	incarnation int64
+	// address is that of the process's drpc server, upstream that of the engine.
+	address  string
+	upstream string
+	// instance is the engine's instance; empty at an agent, which manages but one engine.
+	instance string
+	service  string
+}
+
+// subscription holds the state that one manager streams of its engine.
 type subscription struct {
-	member     *wire.Member
+	manager    engineManager
 	cancel     context.CancelFunc
 	state      *wire.PlaceState
 	receivedAt time.Time
@@ -41,24 +57,24 @@
 	return s != nil && s.state != nil && now.Sub(s.receivedAt) < agentSilenceTimeout
 }
 
-// selectAgents splits the agents into those that an entry subscribes to and the others. In a large
-// fleet, the agents of a service each get about the same number of subscribers.
-func selectAgents(entry string, agents []*wire.Member) (selected, others []*wire.Member) {
-	if len(agents) <= targetSubscriptions {
-		return agents, nil
+// selectManagers splits the managers into those that an entry subscribes to and the others. In a
+// large fleet, the managers of a service's engines each get about the same number of subscribers.
+func selectManagers(entry string, managers []engineManager) (selected, others []engineManager) {
+	if len(managers) <= targetSubscriptions {
+		return managers, nil
 	}
 	services := map[string][]string{}
-	for _, m := range agents {
-		services[m.Service] = append(services[m.Service], m.Name)
+	for _, m := range managers {
+		services[m.service] = append(services[m.service], m.name)
 	}
 	isSelected := map[string]bool{}
 	for _, names := range services {
-		for _, n := range rank.Top(entry, names, max(minSubscriptionsPerService, targetSubscriptions*len(names)/len(agents))) {
+		for _, n := range rank.Top(entry, names, max(minSubscriptionsPerService, targetSubscriptions*len(names)/len(managers))) {
 			isSelected[n] = true
 		}
 	}
-	for _, m := range agents {
-		if isSelected[m.Name] {
+	for _, m := range managers {
+		if isSelected[m.name] {
 			selected = append(selected, m)
 		} else {
 			others = append(others, m)
@@ -67,28 +83,27 @@
 	return selected, others
 }
 
-// updateSubscriptions starts and ends subscriptions so that each selected live agent has one.
-func (p *Proxy) updateSubscriptions(agents []*wire.Member) {
-	agents, others := selectAgents(p.settings.VM, agents)
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// updateSubscriptions starts and ends subscriptions so that each selected manager has one. p.mu
+// must be held.
+func (p *Proxy) updateSubscriptions(managers []engineManager) {
+	managers, others := selectManagers(p.settings.VM, managers)
 	clear(p.unsubscribed)
 	for _, m := range others {
-		p.unsubscribed[m.Upstream] = true
+		p.unsubscribed[m.upstream] = true
 	}
 	live := map[string]bool{}
-	for _, m := range agents {
-		live[m.Upstream] = true
-		sub := p.subscriptions[m.Upstream]
-		if sub != nil && sub.member.Address == m.Address && sub.member.Incarnation == m.Incarnation {
+	for _, m := range managers {
+		live[m.upstream] = true
+		sub := p.subscriptions[m.upstream]
+		if sub != nil && sub.manager == m {
 			continue
 		}
 		if sub != nil {
 			sub.cancel()
 		}
 		ctx, cancel := context.WithCancel(p.ctx)
-		sub = &subscription{member: m, cancel: cancel}
-		p.subscriptions[m.Upstream] = sub
+		sub = &subscription{manager: m, cancel: cancel}
+		p.subscriptions[m.upstream] = sub
 		p.tasks.Go(func() { p.runSubscription(ctx, sub) })
 	}
 	for a, sub := range p.subscriptions {
@@ -109,7 +124,7 @@
 		sub.state = nil
 		p.mu.Unlock()
 		if wasFound && ctx.Err() == nil {
-			p.log.WithFields(logrus.Fields{"event": "agent-lost", "agent": sub.member.Name}).WithError(err).Warn("lost the state stream of an agent")
+			p.log.WithFields(logrus.Fields{"event": "agent-lost", "agent": sub.manager.process, "engine": sub.manager.upstream}).WithError(err).Warn("lost the state stream of an agent")
 		}
 		select {
 		case <-time.After(resubscribeDelay):
@@ -123,12 +138,12 @@
 	defer cancel()
 	timer := time.AfterFunc(agentSilenceTimeout, cancel)
 	defer timer.Stop()
-	c, release, err := p.links.Get(ctx, sub.member.Address)
+	c, release, err := p.links.Get(ctx, sub.manager.address)
 	if err != nil {
 		return err
 	}
 	defer release(false)
-	s, err := wire.NewDRPCMeshClient(c).Follow(ctx, &wire.FollowRequest{Entry: p.settings.VM})
+	s, err := wire.NewDRPCMeshClient(c).Follow(ctx, &wire.FollowRequest{Entry: p.settings.VM, Instance: sub.manager.instance})
 	if err != nil {
 		return err
 	}
@@ -140,7 +155,7 @@
 		timer.Reset(agentSilenceTimeout)
 		p.mu.Lock()
 		if sub.state == nil {
-			p.log.WithFields(logrus.Fields{"event": "agent-found", "agent": sub.member.Name, "stage": m.Stage.String()}).Info("receiving the state of an agent")
+			p.log.WithFields(logrus.Fields{"event": "agent-found", "agent": sub.manager.process, "engine": sub.manager.upstream, "stage": m.Stage.String()}).Info("receiving the state of an agent")
 		}
 		sub.state = m
 		sub.receivedAt = time.Now()
--- a/entry/proxy/follow_test.go
+++ b/entry/proxy/follow_test.go
@@ -4,13 +4,12 @@
 	"fmt"
 	"testing"
 
-	"cranberrypoint.example/coord/wire"
 	"github.com/google/go-cmp/cmp"
 )
 
-func testAgents(n int) (l []*wire.Member) {
+func testManagers(n int) (l []engineManager) {
 	for i := range n {
-		l = append(l, &wire.Member{Name: fmt.Sprint("agent-", i)})
+		l = append(l, engineManager{name: fmt.Sprint("agent-", i)})
 	}
 	return l
 }
@@ -21,18 +20,18 @@
 	const entries, engines = 370, 770
 	by := map[string]int{}
 	for i := range entries {
-		selected, others := selectAgents(fmt.Sprint("entry-", i), testAgents(engines))
+		selected, others := selectManagers(fmt.Sprint("entry-", i), testManagers(engines))
 		if d := cmp.Diff([]int{targetSubscriptions, engines - targetSubscriptions}, []int{len(selected), len(others)}); d != "" {
 			t.Fatalf("selected and other agents (-want +got):\n%s", d)
 		}
 		for _, m := range selected {
-			by[m.Name]++
+			by[m.name]++
 		}
 	}
 	mean := entries * targetSubscriptions / engines
-	for _, m := range testAgents(engines) {
-		if n := by[m.Name]; n < mean/3 || n > 3*mean {
-			t.Errorf("%s has %d subscribers; the mean is %d", m.Name, n, mean)
+	for _, m := range testManagers(engines) {
+		if n := by[m.name]; n < mean/3 || n > 3*mean {
+			t.Errorf("%s has %d subscribers; the mean is %d", m.name, n, mean)
 		}
 	}
 }
@@ -40,14 +39,14 @@
 // TestSmallServiceIsFullySubscribed checks that a service with few engines is selected whole in a
 // large fleet.
 func TestSmallServiceIsFullySubscribed(t *testing.T) {
-	l := testAgents(500)
+	l := testManagers(500)
 	for i := range 3 {
-		l = append(l, &wire.Member{Name: fmt.Sprint("small-", i), Service: "small"})
+		l = append(l, engineManager{name: fmt.Sprint("small-", i), service: "small"})
 	}
-	selected, _ := selectAgents("entry", l)
+	selected, _ := selectManagers("entry", l)
 	n := 0
 	for _, m := range selected {
-		if m.Service == "small" {
+		if m.service == "small" {
 			n++
 		}
 	}
@@ -58,7 +57,7 @@
 
 // TestSmallFleetIsFullySubscribed checks that all agents are selected up to the limit.
 func TestSmallFleetIsFullySubscribed(t *testing.T) {
-	selected, others := selectAgents("entry", testAgents(targetSubscriptions))
+	selected, others := selectManagers("entry", testManagers(targetSubscriptions))
 	if d := cmp.Diff([]int{targetSubscriptions, 0}, []int{len(selected), len(others)}); d != "" {
 		t.Errorf("selected and other agents (-want +got):\n%s", d)
 	}
--- a/entry/proxy/hold.go
+++ b/entry/proxy/hold.go
@@ -16,10 +16,10 @@
 // the agent is open. If it is granted, release ends it and tells the agent whether the answer
 // was complete.
 func (p *Proxy) reserve(ctx context.Context, sub *subscription, q *wire.HoldRequest) (r *wire.HoldReply, release func(complete bool), err error) {
-	defer fault.Annotate(&err, "reserve at %s", sub.member.Name)
+	defer fault.Annotate(&err, "reserve at %s", sub.manager.process)
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(micros(q.PatienceMicros)+reservationReplyMargin, cancel)
-	c, free, err := p.links.Get(ctx, sub.member.Address)
+	c, free, err := p.links.Get(ctx, sub.manager.address)
 	if err != nil {
 		cancel()
 		return nil, nil, err
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cranberrypoint.example/coord/admit"
 	"cranberrypoint.example/coord/opsrv"
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -15,6 +16,8 @@
 	storeReads      prometheus.Counter
 	storeReadErrors prometheus.Counter
 	entryListings   prometheus.Counter
+	// admit counts the decisions on engines that this entry manages.
+	admit *admit.Metrics
 }
 
 func newMetrics() *metrics {
@@ -28,6 +31,7 @@
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
+		admit:           admit.NewMetrics(r),
 		storeReadErrors: opsrv.Counter(r, "store_read_errors_total", "Reads of the store that failed."),
 	}
 }
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -172,7 +172,7 @@
 // reservePrefill announces a prefill to the agent of an engine and reports whether the agent
 // permits it. Agents of prefill engines always do.
 func (p *Proxy) reservePrefill(x *exchange, c candidate) (release func(), ok bool) {
-	q := &wire.HoldRequest{Request: x.call.ID, Prompt: x.call.PromptTokens, Prefill: true, PatienceMicros: x.timeLeft().Microseconds()}
+	q := &wire.HoldRequest{Request: x.call.ID, Prompt: x.call.PromptTokens, Prefill: true, PatienceMicros: x.timeLeft().Microseconds(), Instance: c.upstream.Instance}
 	r, end, err := p.reserve(x.ctx, c.subscription, q)
 	if err != nil {
 		// The agent doesn't count this prompt; the engine's own queue limits the load.
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"cranberrypoint.example/coord/assign"
 	"cranberrypoint.example/coord/budget"
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/digest"
@@ -69,7 +70,9 @@
 	LimitOverdraft int64
 	Store          calls.Store
 	Codec          calls.Codec
-	Log            logrus.FieldLogger
+	// EngineCodec is for engines without an agent, which this entry may manage.
+	EngineCodec calls.EngineCodec
+	Log         logrus.FieldLogger
 }
 
 // Proxy is a running entry. It implements http.Handler and the mesh RPCs.
@@ -119,11 +122,16 @@
 	endedIncarnations map[string]int64
 	retryBudgets      map[string]*budget.Budget
 	subscriptions     map[string]*subscription
-	// unsubscribed holds the addresses of engines whose agents are live, but not selected for a
-	// subscription. They are left to other entries.
+	// unsubscribed holds the addresses of engines whose managers are live, but not selected for
+	// a subscription. They are left to other entries.
 	unsubscribed map[string]bool
 	engineStats  *engineStats
-	storeLost    bool
+	// assigner chooses the managers of agentlessEngines, the engines that have no agent. Those
+	// that this entry manages are in managed, by instance.
+	assigner         *assign.Assigner
+	agentlessEngines []roster.Upstream
+	managed          map[string]*managedEngine
+	storeLost        bool
 }
 
 // Start runs an entry. The returned function stops it at once; see Drain for a graceful shutdown.
@@ -160,6 +168,8 @@
 		subscriptions:     map[string]*subscription{},
 		unsubscribed:      map[string]bool{},
 		engineStats:       newEngineStats(),
+		assigner:          assign.New(),
+		managed:           map[string]*managedEngine{},
 		clientConns:       newConnTracker(listeners[0]),
 	}
 	var closeConns func()
@@ -195,6 +205,7 @@
 			f()
 		}
 		stopMesh()
+		p.stopManagers()
 		closeLinks()
 		closeConns()
 		p.tasks.Close()
@@ -268,8 +279,8 @@
 
 // afterHeartbeat updates subscriptions and the ownership of limits after a heartbeat.
 func (p *Proxy) afterHeartbeat() {
-	p.updateSubscriptions(p.mesh.Live(mesh.RoleAgent))
 	live := p.mesh.Live(mesh.RoleEntry)
+	p.updateEngines(live)
 	heard, missing := p.mesh.Heard(mesh.RoleEntry)
 	hasQuorum := limits.HasQuorum(1+heard, missing) && !p.mesh.Isolated()
 	p.mu.Lock()
