entry, place: a queued request moves to an engine that has room

Cause: each engine has a queue of its own. A request that waited at the engine that was expected to be free first stayed there while others got places again.

Ruled out: late streams because of long prefills (read-ms 70 to 280 ms in nearly all of them).

The request's log line says moved.

--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/place"
 	"cranberrypoint.example/coord/rank"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/wire"
@@ -24,12 +25,11 @@
 	// agentlessMemoryShare is the part of an engine's memory that entries hand out without its
 	// agent, each entry an equal share of it.
 	agentlessMemoryShare = 0.7
-	// noRoomCost is the least decode cost of an engine without room. An engine with room costs
-	// at most 1 if its agent reports the room, and between 1 and noRoomCost if its agent is
-	// silent. agentlessFullCost is the cost of an engine whose agent is silent and that has no
-	// room.
-	noRoomCost        = 2.0
-	agentlessFullCost = 3.0
+	// silentRoomCost is the cost of an engine with room whose manager is silent, less the free
+	// part of its memory: more than that of any engine whose manager reports room.
+	silentRoomCost = 2.0
+	// silentFullCost is the cost of an engine without room whose manager is silent.
+	silentFullCost = 3.0
 )
 
 // engineStats holds what an entry has observed of engines and callers.
@@ -137,24 +137,29 @@
 	return best, hasRoom, ok
 }
 
-// decodeCost orders decode engines: first those whose agents report room, by the free part of their
-// memory, then those with room whose agents are silent, then those whose agents report no room, by
-// the time until they have some. An engine without room whose agent is silent ranks among the last.
+// decodeCost orders decode engines: first those whose managers report room, by the free part of
+// their memory, then those with room whose managers are silent, then those whose managers report
+// no room, by the time until they have some. An engine without room whose manager is silent ranks
+// among the last.
 func (p *Proxy) decodeCost(x *exchange, c candidate) (cost float64, hasRoom bool) {
 	if c.state == nil {
 		room := p.agentlessRoom(x, c.upstream)
 		if room < x.call.PromptTokens+x.call.MaxTokens {
-			return agentlessFullCost, false
+			return silentFullCost, false
 		}
-		return noRoomCost - float64(room)/float64(x.service.Engine.KVTokens), true
+		return silentRoomCost - float64(room)/float64(x.service.Engine.KVTokens), true
 	}
-	pending := int64(c.subscription.pendingReservations) * typicalRunTokens(x)
-	if room := c.state.Room - pending; c.state.Waiting == 0 && room >= x.call.PromptTokens {
-		return 1 - float64(room)/float64(max(1, c.state.Memory)), true
+	o := place.Offer{
+		State: place.State{
+			Waiting:         int(c.state.Waiting),
+			MaxPromptTokens: c.state.Room,
+			MemoryTokens:    c.state.Memory,
+			Slots:           int(c.state.Slots),
+			ExpectedWait:    micros(c.state.AgainMicros),
+		},
+		Pending: c.subscription.pendingReservations,
 	}
-	retryAfter := micros(c.state.AgainMicros)
-	queue := float64(int(c.state.Waiting)+c.subscription.pendingReservations) / float64(max(1, c.state.Slots))
-	return noRoomCost + retryAfter.Seconds() + queue, false
+	return o.Cost(x.call.PromptTokens, typicalRunTokens(x))
 }
 
 // typicalRunTokens returns how many tokens a run of a request's size typically holds at its end.
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -62,6 +62,8 @@
 	// permitted that. It is not set if the decode engine prefills because a remote prefill
 	// failed or its KV cache is gone.
 	localPrefill bool
+	// moved is true if the request left the queue of one engine for a place at another.
+	moved bool
 	// reservationSlack is the time from the last request for a reservation to the latest grant
 	// with which the answer begins on time.
 	reservationSlack time.Duration
@@ -168,6 +170,9 @@
 	if r.localPrefill {
 		f["own-read"] = true
 	}
+	if r.moved {
+		f["moved"] = true
+	}
 	if r.bytes > 0 {
 		f["bytes"] = r.bytes
 	}
--- /dev/null
+++ b/entry/proxy/reserve.go
@@ -0,0 +1,175 @@
+package proxy
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/place"
+	"cranberrypoint.example/coord/wire"
+)
+
+// maxReservationTries is the number of engines that are asked for one reservation, besides those
+// at which a request that waits takes its chance.
+const maxReservationTries = 2
+
+// reservation is a granted reservation for one run on a decode engine.
+type reservation struct {
+	candidate candidate
+	// release ends the reservation. complete tells the manager that the whole answer was relayed.
+	release func(complete bool)
+}
+
+// reservationResult is the reply of an engine's manager to a request for a reservation, or the
+// error of the call. reservation is valid if the reply grants it.
+type reservationResult struct {
+	reservation reservation
+	reply       *wire.HoldReply
+	err         error
+}
+
+// reservationDeadlines returns the latest times to grant a reservation if the prefill takes the
+// given time: startBy for the answer to begin on time, and expiresAt for it to begin before the
+// caller gives up.
+func (p *Proxy) reservationDeadlines(x *exchange, prefill time.Duration) (startBy, expiresAt time.Time) {
+	startBy = x.prefillDeadline.Add(-prefill)
+	wait := max(minStreamTimeout, streamTimeoutLatencyFactor*x.route.TargetLatency, streamTimeoutGapFactor*x.route.TargetGap)
+	expiresAt = x.arrived.Add(wait - prefill - streamTimeoutMargin)
+	if d := x.deadline.Add(-prefill - streamTimeoutMargin); d.Before(expiresAt) {
+		expiresAt = d
+	}
+	return startBy, expiresAt
+}
+
+// reserveDecode reserves a run on a decode engine that was not tried yet, or returns the reason
+// why none is available.
+func (p *Proxy) reserveDecode(x *exchange, tried map[string]bool) (reservation, *fault.Error) {
+	retryAfter := streamRetryAfter
+	asked := maps.Clone(tried)
+	for i := range maxReservationTries {
+		c, hasRoom, ok := p.pickDecode(x, asked)
+		if !ok || i > 0 && !hasRoom {
+			break
+		}
+		asked[c.upstream.Instance] = true
+		r := p.awaitReservation(x, c, tried)
+		switch {
+		case x.ctx.Err() != nil:
+			if r.reply.GetGranted() {
+				r.reservation.release(false)
+			}
+			return reservation{}, fault.NotRun(fault.Cancelled, "the caller left or its time is over")
+		case r.err != nil:
+			p.log.WithField("event", "place-failed").WithField("request", x.call.ID).WithError(r.err).Warn("reservation failed")
+		case r.reply.Granted:
+			x.record.waited = time.Since(x.arrived)
+			return r.reservation, nil
+		default:
+			x.record.cause = r.reply.Reason
+			retryAfter = micros(r.reply.AgainMicros)
+		}
+	}
+	x.record.waited = time.Since(x.arrived)
+	return reservation{}, overloadedFault(max(retryAfter, minRetryAfter), "no engine has a place in time: %s", x.record.cause)
+}
+
+// awaitReservation asks for a reservation at one engine. While the request waits there, it
+// moves to another engine if that has room; see place.Offer.
+func (p *Proxy) awaitReservation(x *exchange, c candidate, tried map[string]bool) reservationResult {
+	ctx, cancel := context.WithCancel(x.ctx)
+	first := make(chan reservationResult, 1)
+	startBy, expiresAt := p.reservationDeadlines(x, p.prefillEstimate(x).Expected())
+	x.record.reservationSlack = time.Until(startBy)
+	p.tasks.Go(func() { first <- p.reserveAt(ctx, x, c, startBy, expiresAt) })
+	t := time.NewTicker(place.MoveInterval)
+	defer t.Stop()
+	for {
+		select {
+		case r := <-first:
+			// The context must last as long as the reservation. It ends with that of the request.
+			context.AfterFunc(x.ctx, cancel)
+			return r
+		case <-t.C:
+		}
+		r, ok := p.moveReservation(x, c, tried, startBy)
+		if !ok {
+			continue
+		}
+		cancel()
+		p.tasks.Go(func() { releaseUnused(<-first) })
+		return r
+	}
+}
+
+// moveReservation asks another engine that has room now, if there is one, to grant a reservation
+// at once. c is the engine at which the request waits.
+func (p *Proxy) moveReservation(x *exchange, c candidate, tried map[string]bool, startBy time.Time) (r reservationResult, ok bool) {
+	others := maps.Clone(tried)
+	others[c.upstream.Instance] = true
+	o, hasRoom, ok := p.pickDecode(x, others)
+	if !ok || !hasRoom || o.subscription == nil {
+		return r, false
+	}
+	r = p.reserveAt(x.ctx, x, o, startBy, time.Now().Add(place.MoveTimeout))
+	if r.err != nil || !r.reply.Granted {
+		return r, false
+	}
+	x.record.moved = true
+	return r, true
+}
+
+// releaseUnused ends a reservation that was granted after the request had moved.
+func releaseUnused(r reservationResult) {
+	if r.reply.GetGranted() {
+		r.reservation.release(false)
+	}
+}
+
+// reserveAt asks for a reservation at one engine, with the deadlines as of reservationDeadlines.
+func (p *Proxy) reserveAt(ctx context.Context, x *exchange, c candidate, startBy, expiresAt time.Time) reservationResult {
+	if c.subscription == nil {
+		return p.reserveWithoutAgent(x, c)
+	}
+	p.mu.Lock()
+	c.subscription.pendingReservations++
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		c.subscription.pendingReservations--
+		p.mu.Unlock()
+	}()
+	q := &wire.HoldRequest{
+		Request:        x.call.ID,
+		Prompt:         x.call.PromptTokens,
+		Most:           x.call.MaxTokens,
+		Priority:       int32(p.priority(x)),
+		TimelyMicros:   max(0, time.Until(startBy)).Microseconds(),
+		PatienceMicros: max(0, time.Until(expiresAt)).Microseconds(),
+		Slots:          int32(x.service.Engine.Slots),
+		Instance:       c.upstream.Instance,
+	}
+	r, release, err := p.reserve(ctx, c.subscription, q)
+	return reservationResult{reservation{c, release}, r, err}
+}
+
+// reserveWithoutAgent reserves a run on an engine whose manager is silent, out of this entry's
+// share of the engine's memory.
+func (p *Proxy) reserveWithoutAgent(x *exchange, c candidate) reservationResult {
+	n := x.call.PromptTokens + x.call.MaxTokens
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.agentlessRoom(x, c.upstream) < n {
+		return reservationResult{reply: &wire.HoldReply{
+			Reason:      "the engine's manager is silent and this entry's part is taken",
+			AgainMicros: streamRetryAfter.Microseconds(),
+		}}
+	}
+	p.engineStats.agentlessTokens[c.upstream.Instance] += n
+	release := func(bool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.engineStats.agentlessTokens[c.upstream.Instance] -= n
+	}
+	return reservationResult{reservation{c, release}, &wire.HoldReply{Granted: true}, nil}
+}
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -7,7 +7,6 @@
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/upconn"
-	"cranberrypoint.example/coord/wire"
 )
 
 const (
@@ -23,8 +22,6 @@
 	// streamTimeoutMargin is subtracted from that timeout and from the time until the deadline,
 	// since callers count from their own send.
 	streamTimeoutMargin = 400 * time.Millisecond
-	// maxReservationTries is the number of engines that are asked for one reservation.
-	maxReservationTries = 2
 	// maxDecodeTries is the number of engines that are tried when engines refuse the run.
 	maxDecodeTries = 3
 	// streamRetryAfter is the retry delay for callers when no agent has estimated one.
@@ -33,13 +30,6 @@
 	minRetryAfter = 300 * time.Millisecond
 )
 
-// reservation is a granted reservation for one run on a decode engine.
-type reservation struct {
-	candidate candidate
-	// release ends the reservation. complete tells the agent that the whole answer was relayed.
-	release func(complete bool)
-}
-
 // serveStream answers a streaming request: it reserves a run on a decode engine, has the prompt
 // prefilled, usually by another engine, and then relays the decode engine's answer.
 func (p *Proxy) serveStream(x *exchange) {
@@ -158,84 +148,6 @@
 	return true
 }
 
-// reservationDeadlines returns the latest times to grant a reservation if the prefill takes the
-// given time: startBy for the answer to begin on time, and expiresAt for it to begin before the
-// caller gives up.
-func (p *Proxy) reservationDeadlines(x *exchange, prefill time.Duration) (startBy, expiresAt time.Time) {
-	startBy = x.prefillDeadline.Add(-prefill)
-	wait := max(minStreamTimeout, streamTimeoutLatencyFactor*x.route.TargetLatency, streamTimeoutGapFactor*x.route.TargetGap)
-	expiresAt = x.arrived.Add(wait - prefill - streamTimeoutMargin)
-	if d := x.deadline.Add(-prefill - streamTimeoutMargin); d.Before(expiresAt) {
-		expiresAt = d
-	}
-	return startBy, expiresAt
-}
-
-// reserveDecode reserves a run on a decode engine that was not tried yet, or returns the reason
-// why none is available.
-func (p *Proxy) reserveDecode(x *exchange, tried map[string]bool) (reservation, *fault.Error) {
-	retryAfter := streamRetryAfter
-	asked := map[string]bool{}
-	for n := range tried {
-		asked[n] = true
-	}
-	for i := range maxReservationTries {
-		c, hasRoom, ok := p.pickDecode(x, asked)
-		if !ok || i > 0 && !hasRoom {
-			break
-		}
-		asked[c.upstream.Instance] = true
-		res, r, err := p.reserveAt(x, c)
-		switch {
-		case x.ctx.Err() != nil:
-			if r.GetGranted() {
-				res.release(false)
-			}
-			return reservation{}, fault.NotRun(fault.Cancelled, "the caller left or its time is over")
-		case err != nil:
-			p.log.WithField("event", "place-failed").WithField("request", x.call.ID).WithError(err).Warn("reservation failed")
-		case r.Granted:
-			x.record.waited = time.Since(x.arrived)
-			return res, nil
-		default:
-			x.record.cause = r.Reason
-			retryAfter = micros(r.AgainMicros)
-		}
-	}
-	x.record.waited = time.Since(x.arrived)
-	return reservation{}, overloadedFault(max(retryAfter, minRetryAfter), "no engine has a place in time: %s", x.record.cause)
-}
-
-// reserveAt asks for a reservation at one engine.
-func (p *Proxy) reserveAt(x *exchange, c candidate) (res reservation, r *wire.HoldReply, err error) {
-	if c.subscription == nil {
-		return p.reserveWithoutAgent(x, c)
-	}
-	prefill := p.prefillEstimate(x).Expected()
-	p.mu.Lock()
-	c.subscription.pendingReservations++
-	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		c.subscription.pendingReservations--
-		p.mu.Unlock()
-	}()
-	startBy, expiresAt := p.reservationDeadlines(x, prefill)
-	x.record.reservationSlack = time.Until(startBy)
-	q := &wire.HoldRequest{
-		Request:        x.call.ID,
-		Prompt:         x.call.PromptTokens,
-		Most:           x.call.MaxTokens,
-		Priority:       int32(p.priority(x)),
-		TimelyMicros:   max(0, time.Until(startBy)).Microseconds(),
-		PatienceMicros: max(0, time.Until(expiresAt)).Microseconds(),
-		Slots:          int32(x.service.Engine.Slots),
-		Instance:       c.upstream.Instance,
-	}
-	r, release, err := p.reserve(x.ctx, c.subscription, q)
-	return reservation{c, release}, r, err
-}
-
 // prefillDeadline returns when the prefill must end for the answer to begin on time.
 func (p *Proxy) prefillDeadline(x *exchange) time.Time {
 	p.mu.Lock()
@@ -250,22 +162,3 @@
 	}
 	return x.route.Priority
 }
-
-// reserveWithoutAgent reserves a run on an engine whose agent is silent, out of this entry's
-// share of the engine's memory.
-func (p *Proxy) reserveWithoutAgent(x *exchange, c candidate) (reservation, *wire.HoldReply, error) {
-	n := x.call.PromptTokens + x.call.MaxTokens
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.agentlessRoom(x, c.upstream) < n {
-		r := &wire.HoldReply{Reason: "the agent is silent and this entry's part is taken", AgainMicros: streamRetryAfter.Microseconds()}
-		return reservation{}, r, nil
-	}
-	p.engineStats.agentlessTokens[c.upstream.Instance] += n
-	release := func(bool) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.engineStats.agentlessTokens[c.upstream.Instance] -= n
-	}
-	return reservation{c, release}, &wire.HoldReply{Granted: true}, nil
-}
