entry/proxy: log the longest pause of a streamed answer

A stream with a pause over the route's target-gap is late for its caller; the request's line now says pause-ms.

--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -71,12 +71,27 @@
 	waited      time.Duration
 	prefillTime time.Duration
 	// firstEvent is the time from the request to the first part of the answer.
-	firstEvent    time.Duration
+	firstEvent time.Duration
+	// longestPause is the longest time between two parts of a streamed answer.
+	longestPause time.Duration
+	// lastPart is the time from the request to the last part of the answer.
+	lastPart      time.Duration
 	bytes         int64
 	configVersion uint64
 	configAge     time.Duration
 }
 
+// addPart records a part of the answer that arrived some time after the request.
+func (r *accessRecord) addPart(at time.Duration, bytes int) {
+	if r.firstEvent == 0 {
+		r.firstEvent = at
+	} else {
+		r.longestPause = max(r.longestPause, at-r.lastPart)
+	}
+	r.lastPart = at
+	r.bytes += int64(bytes)
+}
+
 // Outcomes of requests, in logs and metrics. outcomeIncomplete is the initial one, and remains if
 // the answer breaks off while the caller is still there.
 const (
@@ -162,7 +177,7 @@
 			f[k] = v
 		}
 	}
-	for k, v := range map[string]time.Duration{"slack-ms": r.reservationSlack, "waited-ms": r.waited, "read-ms": r.prefillTime, "first-ms": r.firstEvent} {
+	for k, v := range map[string]time.Duration{"slack-ms": r.reservationSlack, "waited-ms": r.waited, "read-ms": r.prefillTime, "first-ms": r.firstEvent, "pause-ms": r.longestPause} {
 		if v != 0 {
 			f[k] = v.Milliseconds()
 		}
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -146,10 +146,7 @@
 	for {
 		n, err := resp.Body.Read(b)
 		if n > 0 {
-			if x.record.firstEvent == 0 {
-				x.record.firstEvent = time.Since(x.arrived)
-			}
-			x.record.bytes += int64(n)
+			x.record.addPart(time.Since(x.arrived), n)
 			if _, e := x.w.Write(b[:n]); e != nil {
 				return e
 			}
