place: count unfinished answers, keep preempted runs' places, plan no overflow

Logs of agents beside the engines' reports show why: 38 preemptions, each of which makes the other streams of its engine pause for 0.4 to 0.7 s while the preempted run is prefilled again. At 9.6 s an agent had 7 samples of answer lengths, all short, since of the answers that begin together the short ones end first; plans that overflow in 24 of 24 scenarios a moment later had passed. A preempted run was missing from the reports, so its place went to another request, and it came back.

Ruled out: memory that no run holds (the engine's own figure is the sum of the runs to within 1%); two reservations for a moved request; prompts prefilled by decode engines (no own-read among them).

Change: lengths are a Kaplan-Meier estimate over completed and unfinished answers, with one more that reaches its maximum. While requests wait at the engine, a run that is missing from its reports keeps its place. A plan may overflow in none of its 24 scenarios instead of 2.

--- a/coord/place/lag_test.go
+++ b/coord/place/lag_test.go
@@ -100,8 +100,8 @@
 }
 
 // TestLaggingReports replays sustained overload on an engine whose manager is another VM: a
-// report arrives once a second and is nearly a second old. At most the fraction of runs is
-// preempted that a plan allows to overflow, and the engine is kept busy.
+// report arrives once a second and is nearly a second old. At most 1 in
+// scenarioCount runs is preempted, as a plan overflows in none of its scenarios.
 func TestLaggingReports(t *testing.T) {
 	for seed := range uint64(8) {
 		r := rand.New(rand.NewPCG(seed, 7))
@@ -136,8 +136,8 @@
 				start(s.Observe(now, e.report()))
 			}
 		}
-		if e.preempted*scenarioCount > admitted*maxOverflows || admitted < 70 {
-			t.Errorf("seed %d: %d of %d runs preempted, want at most %d in %d of at least 70", seed, e.preempted, admitted, maxOverflows, scenarioCount)
+		if e.preempted*scenarioCount > admitted || admitted < 70 {
+			t.Errorf("seed %d: %d of %d runs preempted, want at most 1 in %d of at least 70", seed, e.preempted, admitted, scenarioCount)
 		}
 	}
 }
--- a/coord/place/observe.go
+++ b/coord/place/observe.go
@@ -28,6 +28,8 @@
 	// MemoryTokens is the size of the engine's KV cache.
 	MemoryTokens int64
 	Runs         []RunUsage
+	// Queued is the number of requests that wait at the engine, preempted runs included.
+	Queued int
 	// StartUnixMillis is the start time of the engine. It changes when the engine restarts.
 	StartUnixMillis int64
 }
@@ -50,7 +52,7 @@
 		}
 	}
 	for id, x := range s.runs {
-		if s.hasEnded(now, x) {
+		if s.hasEnded(now, x, r.Queued) {
 			delete(s.runs, id)
 		}
 	}
@@ -71,12 +73,22 @@
 	r.lastReported = now
 }
 
-// hasEnded reports whether a run has been missing from the reports for too long.
-func (s *Scheduler) hasEnded(now time.Time, r *run) bool {
-	if r.lastReported.IsZero() {
-		return now.Sub(r.grantedAt) > firstReportTimeout+s.reportLag
+// hasEnded reports whether a run has been missing from the reports for too long. While
+// requests wait at the engine, a run that is missing may be one of them, preempted: it comes
+// back and needs its memory again.
+func (s *Scheduler) hasEnded(now time.Time, r *run, queued int) bool {
+	timeout := reportTimeout
+	if r.lastReported.IsZero() || queued > 0 {
+		timeout = firstReportTimeout + s.reportLag
 	}
-	return now.Sub(r.lastReported) > reportTimeout
+	return now.Sub(later(r.lastReported, r.grantedAt)) > timeout
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // updateStepTime estimates the duration of a step from the growth of the runs since the
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -151,7 +151,7 @@
 	if s.memoryTokens > 0 && peakTokens([]growth{{r.PromptTokens, r.MaxTokens}}) > s.memoryTokens {
 		return []Outcome{{RequestID: r.ID, Reason: ReasonTooLarge, RetryAt: now}}
 	}
-	if w := s.expectedWait(now, s.candidate(r), s.queuedAhead(now, r)); now.Add(w).After(r.ExpiresAt) {
+	if w := s.expectedWait(now, r, s.queuedAhead(now, r)); now.Add(w).After(r.ExpiresAt) {
 		return []Outcome{{RequestID: r.ID, Reason: ReasonNoPlace, RetryAt: now.Add(w)}}
 	}
 	s.queue = append(s.queue, r)
@@ -168,10 +168,11 @@
 	return n
 }
 
-// expectedWait returns the time until a candidate is expected to fit. The parameter ahead is
-// the number of requests that are queued before it.
-func (s *Scheduler) expectedWait(now time.Time, c candidate, ahead int) time.Duration {
+// expectedWait returns the time until a request is expected to fit. The parameter ahead is the
+// number of requests that are queued before it.
+func (s *Scheduler) expectedWait(now time.Time, r Request, ahead int) time.Duration {
 	p := s.plan(now)
+	c := s.candidate(p, r)
 	if ahead == 0 && p.fits(c) {
 		return 0
 	}
@@ -183,24 +184,33 @@
 
 // plan returns how the memory of the granted runs may grow from now on.
 func (s *Scheduler) plan(now time.Time) *plan {
-	p := &plan{memoryTokens: s.memoryTokens, slots: s.slots}
+	p := &plan{memoryTokens: s.memoryTokens, slots: s.slots, lengths: s.survival(now)}
 	for _, r := range s.runs {
 		used := s.currentTokens(now, r)
 		generated := used - r.promptTokens
 		for i := range p.scenarios {
-			p.scenarios[i] = append(p.scenarios[i], growth{used, s.lengths.remainingTokens(generated, r.maxTokens, r.lengthQuantiles[i])})
+			p.scenarios[i] = append(p.scenarios[i], growth{used, p.lengths.remainingTokens(generated, r.maxTokens, r.lengthQuantiles[i])})
 		}
-		p.expected = append(p.expected, growth{used, s.lengths.remainingTokens(generated, r.maxTokens, medianQuantile)})
+		p.expected = append(p.expected, growth{used, p.lengths.remainingTokens(generated, r.maxTokens, medianQuantile)})
 	}
 	return p
 }
 
-// candidate returns how the memory of a request's run may grow.
-func (s *Scheduler) candidate(r Request) (c candidate) {
+// survival returns the distribution of answer lengths, the unfinished ones considered.
+func (s *Scheduler) survival(now time.Time) *survival {
+	var unfinished []float64
+	for _, r := range s.runs {
+		unfinished = append(unfinished, float64(s.currentTokens(now, r)-r.promptTokens)/float64(max(1, r.maxTokens)))
+	}
+	return s.lengths.survival(unfinished)
+}
+
+// candidate returns how the memory of a request's run may grow beside the runs of a plan.
+func (s *Scheduler) candidate(p *plan, r Request) (c candidate) {
 	for i := range c.scenarios {
-		c.scenarios[i] = growth{r.PromptTokens, s.lengths.remainingTokens(0, r.MaxTokens, s.candidateQuantiles[i])}
+		c.scenarios[i] = growth{r.PromptTokens, p.lengths.remainingTokens(0, r.MaxTokens, s.candidateQuantiles[i])}
 	}
-	c.expected = growth{r.PromptTokens, s.lengths.remainingTokens(0, r.MaxTokens, medianQuantile)}
+	c.expected = growth{r.PromptTokens, p.lengths.remainingTokens(0, r.MaxTokens, medianQuantile)}
 	return c
 }
 
@@ -229,14 +239,14 @@
 		if now.Before(r.ExpiresAt) {
 			return false
 		}
-		w := s.expectedWait(now, s.candidate(r), 0)
+		w := s.expectedWait(now, r, 0)
 		out = append(out, Outcome{RequestID: r.ID, Reason: ReasonWaitExpired, RetryAt: now.Add(w)})
 		return true
 	})
 	slices.SortStableFunc(s.queue, func(a, b Request) int { return compareRequests(now, a, b) })
 	for len(s.queue) > 0 {
 		r := s.queue[0]
-		if !s.plan(now).fits(s.candidate(r)) {
+		if p := s.plan(now); !p.fits(s.candidate(p, r)) {
 			break
 		}
 		s.queue = s.queue[1:]
@@ -282,7 +292,8 @@
 
 // State returns the state at a time.
 func (s *Scheduler) State(now time.Time) State {
-	c := s.candidate(Request{PromptTokens: int64(s.avgPromptTokens), MaxTokens: int64(s.avgMaxTokens)})
+	average := Request{PromptTokens: int64(s.avgPromptTokens), MaxTokens: int64(s.avgMaxTokens)}
+	p := s.plan(now)
 	st := State{
 		Running:      len(s.runs),
 		Waiting:      len(s.queue),
@@ -290,10 +301,10 @@
 		Slots:        s.slots,
 	}
 	if st.Waiting == 0 {
-		st.MaxPromptTokens = s.plan(now).maxPromptTokens(c)
+		st.MaxPromptTokens = p.maxPromptTokens(s.candidate(p, average))
 	}
 	if st.MaxPromptTokens < int64(s.avgPromptTokens) {
-		st.ExpectedWait = s.expectedWait(now, c, len(s.queue))
+		st.ExpectedWait = s.expectedWait(now, average, len(s.queue))
 	}
 	return st
 }
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -218,31 +218,44 @@
 }
 
 // TestShortAnswersShareMemory checks that, with answers of all lengths, at most the fraction
-// maxOverflows/scenarioCount of the runs is preempted, as a plan may overflow in that fraction
-// of its scenarios. Planning each run with its maximum length would admit far fewer runs,
+// 1/scenarioCount of the runs is preempted, as a plan overflows in none of its scenarios. Planning each run with its maximum length would admit far fewer runs,
 // which the test doesn't measure.
 func TestShortAnswersShareMemory(t *testing.T) {
 	uniform := func(r *rand.Rand, maxTokens int64) int64 { return 1 + r.Int64N(maxTokens) }
 	for seed := range uint64(20) {
 		n, preempted := simulate(seed, 5000, uniform)
-		if preempted*scenarioCount > n*maxOverflows {
-			t.Errorf("seed %d: %d of %d runs preempted, want at most %d in %d", seed, preempted, n, maxOverflows, scenarioCount)
+		if preempted*scenarioCount > n {
+			t.Errorf("seed %d: %d of %d runs preempted, want at most 1 in %d", seed, preempted, n, scenarioCount)
 		}
 	}
 }
 
 // TestRemainingTokens checks the estimate without samples, and with samples for answers that
-// are shorter and longer than the longest sample.
+// are shorter and longer than the longest sample. One answer is assumed that reaches its maximum.
 func TestRemainingTokens(t *testing.T) {
 	l := newLengthModel()
-	if d := cmp.Diff(int64(90), l.remainingTokens(10, 100, medianQuantile)); d != "" {
+	if d := cmp.Diff(int64(90), l.survival(nil).remainingTokens(10, 100, medianQuantile)); d != "" {
 		t.Errorf("remaining tokens without samples (-want +got):\n%s", d)
 	}
 	for _, n := range []int64{10, 20, 30, 40, 50, 60} {
 		l.add(n, 100)
 	}
-	got := []int64{l.remainingTokens(0, 100, 0), l.remainingTokens(0, 100, medianQuantile), l.remainingTokens(0, 100, 0.99), l.remainingTokens(35, 100, 0), l.remainingTokens(80, 100, 0)}
-	if d := cmp.Diff([]int64{10, 40, 60, 5, 10}, got); d != "" {
+	s := l.survival(nil)
+	got := []int64{s.remainingTokens(0, 100, 0), s.remainingTokens(0, 100, medianQuantile), s.remainingTokens(0, 100, 0.99), s.remainingTokens(35, 100, 0), s.remainingTokens(80, 100, 0)}
+	if d := cmp.Diff([]int64{10, 40, 100, 5, 10}, got); d != "" {
 		t.Errorf("remaining tokens of 0, 0, 0, 35 and 80 generated ones (-want +got):\n%s", d)
 	}
 }
+
+// TestUnfinishedAnswersCount checks that answers which are longer than the completed ones already,
+// but haven't ended, raise the estimate.
+func TestUnfinishedAnswersCount(t *testing.T) {
+	l := newLengthModel()
+	for range minSamples {
+		l.add(10, 100)
+	}
+	got := []int64{l.survival(nil).remainingTokens(0, 100, medianQuantile), l.survival([]float64{0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5}).remainingTokens(0, 100, medianQuantile)}
+	if d := cmp.Diff([]int64{10, 100}, got); d != "" {
+		t.Errorf("median without and with unfinished answers (-want +got):\n%s", d)
+	}
+}
--- a/coord/place/plan.go
+++ b/coord/place/plan.go
@@ -15,9 +15,10 @@
 const blockTokens = 16
 
 // maxOverflows is the number of scenarios in which a plan may exceed the memory. An engine
-// that runs out of memory preempts a run and prefills its prompt again. A rare preemption
-// costs less than reserving memory for every scenario, which would mostly stay unused.
-const maxOverflows = 2
+// that runs out of memory preempts a run and later prefills its prompt and its answer again,
+// between the tokens of the other runs. All streams of the engine pause meanwhile, so one
+// preemption makes several answers late.
+const maxOverflows = 0
 
 // compareRemaining orders runs by the time at which they end: all runs of a batch grow by
 // one token in a step.
@@ -46,6 +47,8 @@
 type plan struct {
 	memoryTokens int64
 	slots        int
+	// lengths is the distribution of answer lengths; nil if too little is known.
+	lengths *survival
 	// scenarios holds the growth of each run in each scenario.
 	scenarios [scenarioCount][]growth
 	// expected holds the growth of each run for an answer of median length.
--- a/coord/recent/recent.go
+++ b/coord/recent/recent.go
@@ -38,6 +38,9 @@
 // Len returns the number of values.
 func (s *Samples[T]) Len() int { return len(s.sorted) }
 
+// Sorted returns the values in ascending order. The slice is valid until the next Add.
+func (s *Samples[T]) Sorted() []T { return s.sorted }
+
 // Quantile returns the u-quantile of the values: of n values in ascending order, the one at
 // index int(u*n). u is at least 0 and below 1. It panics if there are no values.
 func (s *Samples[T]) Quantile(u float64) T { return s.QuantileFrom(0, u) }
