--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -131,7 +131,9 @@
 	assigner         *assign.Assigner
 	agentlessEngines []roster.Upstream
 	managed          map[string]*managedEngine
-	storeLost        bool
+	// storeBackoff is set by store calls that failed.
+	storeBackoff backoff
+	storeLost    bool
 }
 
 // Start runs an entry. The returned function stops it at once; see Drain for a graceful shutdown.
--- a/entry/proxy/watch.go
+++ b/entry/proxy/watch.go
@@ -10,6 +10,7 @@
 	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/wire"
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -82,7 +83,7 @@
 		}
 		return p.fetchFromEntry(p.randomEntry())
 	}
-	if p.sinceStoreCall() > storeCheckPeriod {
+	if p.sinceStoreCall() > storeCheckPeriod && p.mayCallStore() {
 		p.tasks.Go(p.checkStore)
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
@@ -146,8 +147,29 @@
 	return &wire.Member{Name: a, Address: a}
 }
 
+// errStorePause means that the store isn't called yet, as calls to it have failed.
+var errStorePause = eris.New("the store is not called again yet")
+
+// mayCallStore reports whether the store may be called after earlier failures.
+func (p *Proxy) mayCallStore() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.storeBackoff.allows(time.Now())
+}
+
+// longestStorePause returns the longest pause between this entry's store calls while they fail.
+func (p *Proxy) longestStorePause() time.Duration {
+	if p.snapshot.Load() == nil || p.storeReaders() == nil {
+		return maxReaderPause
+	}
+	return maxStorePause
+}
+
 // readStore reads the store and adopts the result.
 func (p *Proxy) readStore() error {
+	if !p.mayCallStore() {
+		return errStorePause
+	}
 	ctx, cancel := context.WithTimeout(p.ctx, storeReadTimeout)
 	defer cancel()
 	began := clock.Now()
@@ -175,7 +197,9 @@
 
 func (p *Proxy) recordStoreFailure(err error) {
 	p.metrics.storeReadErrors.Inc()
+	longest := p.longestStorePause()
 	p.mu.Lock()
+	p.storeBackoff.failed(time.Now(), longest, rand.Float64())
 	first := !p.storeLost
 	p.storeLost = true
 	p.mu.Unlock()
@@ -187,6 +211,7 @@
 func (p *Proxy) recordStoreSuccess(began clock.Instant) {
 	p.lastStoreCall.Store(int64(began))
 	p.mu.Lock()
+	p.storeBackoff.succeeded()
 	wasLost := p.storeLost
 	p.storeLost = false
 	p.mu.Unlock()
