--- a/coord/place/lag_test.go
+++ b/coord/place/lag_test.go
@@ -100,8 +100,9 @@
 }
 
 // TestLaggingReports replays sustained overload on an engine whose manager is another VM: a
-// report arrives once a second and is nearly a second old. At most the fraction of runs is
-// preempted that a plan allows to overflow, and the engine is kept busy.
+// report arrives once a second and is nearly a second old. At most
+// maxOverflows in scenarioCount runs are preempted, as a plan may overflow in that fraction of
+// its scenarios.
 func TestLaggingReports(t *testing.T) {
 	for seed := range uint64(8) {
 		r := rand.New(rand.NewPCG(seed, 7))
