--- a/coord/place/choose.go
+++ b/coord/place/choose.go
@@ -37,24 +37,3 @@
 	queue := float64(o.Waiting+o.Pending) / float64(max(1, o.Slots))
 	return noRoomCost + o.ExpectedWait.Seconds() + queue, false
 }
-
-// PrefillOffer is what an entry knows of an engine that might prefill a prompt.
-//
-// The KV cache is copied to the engine that decodes. Between data centres the copy is slower, and
-// the link is shared, so with many prompts at a time the choice by backlog alone would send
-// nearly all of them across. A shorter queue elsewhere is worth that only if it saves time.
-type PrefillOffer struct {
-	// BacklogTokens are the prompt tokens that the engine has yet to prefill.
-	BacklogTokens int64
-	// Near is true if the engine is in the data centre of the one that decodes.
-	Near bool
-}
-
-// Cost orders offers by backlog. farTokens is the backlog for which an engine elsewhere must be
-// ahead to be preferred.
-func (o PrefillOffer) Cost(farTokens int64) int64 {
-	if o.Near {
-		return o.BacklogTokens
-	}
-	return o.BacklogTokens + farTokens
-}
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -25,9 +25,6 @@
 	// agentlessMemoryShare is the part of an engine's memory that entries hand out without its
 	// agent, each entry an equal share of it.
 	agentlessMemoryShare = 0.7
-	// farPrefillShare is the part of a route's latency target that a prompt may wait longer to be
-	// prefilled in the data centre where it is decoded.
-	farPrefillShare = 0.05
 	// silentRoomCost is the cost of an engine with room whose manager is silent, less the free
 	// part of its memory: more than that of any engine whose manager reports room.
 	silentRoomCost = 2.0
@@ -191,20 +188,16 @@
 	return e.KVTokens
 }
 
-// pickPrefill returns the prefill engine with the smallest backlog, and that backlog in tokens. If
-// near isn't empty, engines in that data centre are preferred; see place.PrefillOffer.
-func (p *Proxy) pickPrefill(x *exchange, near string, tried map[string]bool) (best candidate, backlog int64, ok bool) {
+// pickPrefill returns the prefill engine with the smallest backlog, and that backlog in tokens.
+func (p *Proxy) pickPrefill(x *exchange, tried map[string]bool) (best candidate, backlog int64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.candidates(x.service.Name, wire.Stage_STAGE_PREFILL, tried)
 	mean := meanBacklog(l)
-	far := p.engineStats.remotePrefill.tokensIn(time.Duration(farPrefillShare * float64(x.route.TargetLatency)))
-	var least int64
 	for _, c := range l {
 		n := p.prefillBacklog(c, mean)
-		cost := place.PrefillOffer{BacklogTokens: n, Near: near == "" || c.upstream.DataCentre == near}.Cost(far)
-		if !ok || cost < least {
-			best, backlog, least, ok = c, n, cost, true
+		if !ok || n < backlog {
+			best, backlog, ok = c, n, true
 		}
 	}
 	return best, backlog, ok
--- a/entry/proxy/speed.go
+++ b/entry/proxy/speed.go
@@ -29,11 +29,3 @@
 func (s *prefillSpeed) estimate(tokens int64) time.Duration {
 	return time.Duration(s.perToken * float64(tokens))
 }
-
-// tokensIn returns how many tokens are expected to be prefilled in a time; 0 without samples.
-func (s *prefillSpeed) tokensIn(d time.Duration) int64 {
-	if s.perToken == 0 {
-		return 0
-	}
-	return int64(float64(d) / s.perToken)
-}
