worker, cmdln: a right retry after a call that did not run; exit code 0 for help

The record now forgets that a call was started once the call has failed without running the request. TestRetryAfterCallThatDidNotRun panicked before.

load -help, and each subcommand's -help and -h, exit 0 (2 before); TestExitCodes is new with it.

--- a/coord/cmdln/cmdln.go
+++ b/coord/cmdln/cmdln.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -32,15 +33,23 @@
 // Main runs the subcommand that the command line names, one of commands or the built-in help,
 // flags and version, and returns the exit code of the process.
 func Main(program string, commands ...subcommands.Command) int {
+	return run(program, os.Args[1:], commands)
+}
+
+// run runs the subcommand that args name.
+func run(program string, args []string, commands []subcommands.Command) int {
 	f := flag.NewFlagSet(program, flag.ContinueOnError)
 	c := subcommands.NewCommander(f, program)
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	c.Register(&versionCommand{program: program}, "")
 	for _, x := range commands {
-		c.Register(x, "")
+		c.Register(&helpCommand{Command: x}, "")
 	}
-	if err := f.Parse(os.Args[1:]); err != nil {
+	switch err := f.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return int(Success)
+	case err != nil:
 		return int(Usage)
 	}
 	return int(c.Execute(context.Background()))
@@ -70,6 +79,33 @@
 	return Success
 }
 
+// helpCommand adds -help and -h to a subcommand. Package flag handles them as well, but as an
+// error, so that the process would end with the exit code of a wrong flag.
+type helpCommand struct {
+	subcommands.Command
+	flags *flag.FlagSet
+	help  bool
+}
+
+// SetFlags registers the flags of the subcommand and those for help.
+func (h *helpCommand) SetFlags(f *flag.FlagSet) {
+	h.flags = f
+	h.Command.SetFlags(f)
+	f.BoolVar(&h.help, "help", false, "print this text")
+	f.BoolVar(&h.help, "h", false, "print this text")
+}
+
+// Execute prints the usage if help was asked for, and otherwise runs the subcommand.
+func (h *helpCommand) Execute(ctx context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	if !h.help {
+		return h.Command.Execute(ctx, f, args...)
+	}
+	fmt.Print(h.Usage())
+	h.flags.SetOutput(os.Stdout)
+	h.flags.PrintDefaults()
+	return Success
+}
+
 // versionCommand is the subcommand version.
 type versionCommand struct{ program string }
 
--- a/coord/worker/call.go
+++ b/coord/worker/call.go
@@ -123,5 +123,7 @@
 	if w.replayable(r) {
 		r.keepUntil = w.now.Add(w.retention)
 	}
-	w.ensureRecord(r.id.Request).ran = ran
+	rec := w.ensureRecord(r.id.Request)
+	rec.ran = ran
+	rec.started = ran != wire.Ran_RAN_NO
 }
--- a/coord/worker/ended.go
+++ b/coord/worker/ended.go
@@ -16,8 +16,8 @@
 	// ran says whether the request ran at the upstream, as far as runs that ended or were
 	// removed tell. It doesn't change when a call begins.
 	ran wire.Ran
-	// started is true once a call to the upstream began for a run of the request. It stays
-	// true if the call fails without running the request.
+	// started is true once a call to the upstream began for a run of the request, unless the call
+	// has failed without running the request.
 	started   bool
 	keepUntil time.Time
 }
--- a/coord/worker/worker_test.go
+++ b/coord/worker/worker_test.go
@@ -117,3 +117,33 @@
 		t.Errorf("effects %v, want one refusal with code leaving and RAN_NO", e)
 	}
 }
+
+// TestRetryAfterCallThatDidNotRun replays a call that isn't idempotent and that the upstream
+// refused to execute. Its outcome is replayed to duplicates for a time. A new attempt after that,
+// while the record of the request is still kept, is right, and must be started.
+func TestRetryAfterCallThatDidNotRun(t *testing.T) {
+	w := worker.New(start, 1)
+	open := func(now time.Time, s worker.StreamID, attempt uint32) []worker.Effect {
+		o := newOpen("a")
+		o.Stage, o.Idempotent, o.Attempt = wire.Stage_STAGE_PLAIN, false, attempt
+		return w.Step(now, worker.Opened{Stream: s, Open: o})
+	}
+	open(start, 1, 1)
+	id := worker.RunID{Request: "a", Attempt: 1, Stage: wire.Stage_STAGE_PLAIN}
+	w.Step(start, worker.CallFailed{Run: id, Err: fault.NotRun(fault.Overloaded, "refused")})
+	w.Step(start, worker.Closed{Stream: 1})
+	now := start
+	for range 11 {
+		now = now.Add(time.Minute)
+		w.Step(now, worker.Ticked{})
+	}
+	started := 0
+	for _, e := range open(now, 2, 2) {
+		if _, ok := e.(worker.StartCall); ok {
+			started++
+		}
+	}
+	if d := cmp.Diff(1, started); d != "" {
+		t.Errorf("calls that the second attempt starts (-want +got):\n%s", d)
+	}
+}
