upconn: reset the connection of an abandoned request

The entry had sent each to an engine whose VM froze at that moment, cancelled it in time and closed the connection; the request lay in the frozen VM's buffers and was read when it went on.

Ruled out: requests sent after the cancellation (the entry's log ends them at 15.002, the request arrives at 18.995, when the VM goes on).

Change: a request that is given up ends with a reset instead of an orderly close. The test sees "<nil>" (end of stream) without it.

--- a/coord/upconn/conn.go
+++ b/coord/upconn/conn.go
@@ -51,6 +51,16 @@
 	return c.Conn.Close()
 }
 
+// abort closes the connection with a reset in place of an orderly end. Bytes of an abandoned
+// request that the upstream has not acknowledged yet are dropped instead of sent later.
+func (c *conn) abort() {
+	if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// Close works without it.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // idleTimeout returns how long a connection may stay idle and be reused: the timeout in the
 // response's Keep-Alive header less a margin, or a default.
 func idleTimeout(h http.Header) time.Duration {
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -228,7 +228,7 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
-	detachContext := context.AfterFunc(ctx, func() { _ = c.Close() })
+	detachContext := context.AfterFunc(ctx, c.abort)
 	r, err = p.roundTrip(address, c, q, detachContext)
 	if err != nil {
 		detachContext()
--- a/coord/upconn/upconn_test.go
+++ b/coord/upconn/upconn_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -305,3 +306,35 @@
 		}
 	}
 }
+
+// TestAbandonedRequestIsReset lets the context of a request end while an upstream has read the
+// request and answers nothing. The upstream must see a reset: after an orderly close, bytes that
+// a stalled network or host still holds would be delivered later, and the request be run for nobody.
+func TestAbandonedRequestIsReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	ended := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, err = io.Copy(io.Discard, c)
+		ended <- err
+	}()
+	p, closePool := NewPool(nil)
+	defer closePool()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := p.Do(ctx, l.Addr().String(), &Request{Method: http.MethodGet, Target: "/", Host: "h"}); err == nil {
+		t.Fatal("a response without an upstream's answer")
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the upstream's read ended with %v, want a reset", err)
+	}
+}
