entry/proxy: a fleet learns sooner that the store is back

The store was silent for longer than a configuration may be used. One entry reached it at 22.80, but 285 requests were refused as "the configuration is too old" until 24.0: once the configuration had expired, the pauses between an entry's refreshes doubled to 1 s, although they mostly ask other entries; and a store reader asked the store first, in a call that hung for 0.8 s, while others had the configuration already.

Ruled out: the pauses of store calls alone (the first entry came back 0.3 s after the store).

--- a/entry/proxy/backoff.go
+++ b/entry/proxy/backoff.go
@@ -37,3 +37,37 @@
 
 // succeeded ends the pauses.
 func (b *backoff) succeeded() { *b = backoff{} }
+
+const (
+	// minRetryPause is the pause after a refresh of the snapshot that failed.
+	minRetryPause = 150 * time.Millisecond
+	// maxRetryPause is the longest pause of an entry that has no snapshot yet.
+	maxRetryPause = time.Second
+)
+
+// pollTimer decides how soon the snapshot is refreshed again, from the store or from other entries.
+//
+// It answers a store that returns after an outage that was longer than a configuration may be used.
+// All entries then refuse requests until they have a newer one. One of them reaches the store
+// first, and the others learn from it as fast as they ask, so an entry that knows others keeps
+// asking often. One that starts knows only the seeds. There the pauses grow, as a fleet that
+// starts at once would keep the seeds busy.
+type pollTimer struct {
+	// retry is the base of the next pause after a failure at the start.
+	retry time.Duration
+}
+
+// pause returns the time until the next refresh. jitter, from 0 to below 1, varies pauses after
+// failures, so that a fleet doesn't retry in step.
+func (t *pollTimer) pause(refreshed, hasSnapshot bool, jitter float64) time.Duration {
+	if refreshed {
+		t.retry = 0
+		return pollPeriod
+	}
+	t.retry = min(maxRetryPause, max(minRetryPause, 2*t.retry))
+	base := t.retry
+	if hasSnapshot {
+		base = minRetryPause
+	}
+	return time.Duration((0.5 + jitter) * float64(base))
+}
--- a/entry/proxy/watch.go
+++ b/entry/proxy/watch.go
@@ -26,11 +26,6 @@
 	// two seconds.
 	storeReadAge    = 800 * time.Millisecond
 	storeReadJitter = 500 * time.Millisecond
-	// After failed refreshes, the base of the pause doubles from minRetryPause to maxRetryPause.
-	// The pause is a random time between half and one and a half times the base, so that a
-	// fleet doesn't retry in step.
-	minRetryPause = 150 * time.Millisecond
-	maxRetryPause = time.Second
 	// maxStoreReaders is the number of entries that read the store while it answers. The others
 	// ask these, because each store call has a cost and the number of calls must not grow with
 	// the fleet.
@@ -45,31 +40,16 @@
 
 // pollConfig refreshes the snapshot until the entry ends.
 func (p *Proxy) pollConfig() {
-	retry := minRetryPause
+	t := pollTimer{}
 	for p.ctx.Err() == nil {
-		pause := pollPeriod
-		switch err := p.refreshSnapshot(); {
-		case err == nil:
-			retry = minRetryPause
-		case p.hasFreshConfig():
-			pause = minRetryPause
-		default:
-			pause = retry/2 + rand.N(retry)
-			retry = min(maxRetryPause, 2*retry)
-		}
+		err := p.refreshSnapshot()
 		select {
-		case <-time.After(pause):
+		case <-time.After(t.pause(err == nil, p.snapshot.Load() != nil, rand.Float64())):
 		case <-p.ctx.Done():
 		}
 	}
 }
 
-// hasFreshConfig reports whether the entry has a configuration that may authenticate keys.
-func (p *Proxy) hasFreshConfig() bool {
-	v := p.snapshot.Load()
-	return v != nil && v.isFresh(p.settings.ConfigMaxAge)
-}
-
 // refreshSnapshot updates the snapshot once. Store readers ask the store first and then another
 // entry; all others ask the store readers first and then the store.
 func (p *Proxy) refreshSnapshot() error {
@@ -78,6 +58,10 @@
 	}
 	peers := p.storeReaders()
 	if peers == nil {
+		// After a failure, others may have reached the store first, and a call may hang.
+		if p.storeFails() && p.fetchFromEntry(p.randomEntry()) == nil {
+			return nil
+		}
 		if err := p.readStore(); err == nil {
 			return nil
 		}
@@ -157,6 +141,13 @@
 	return p.storeBackoff.allows(time.Now())
 }
 
+// storeFails reports whether the last store call failed.
+func (p *Proxy) storeFails() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.storeLost
+}
+
 // longestStorePause returns the longest pause between this entry's store calls while they fail.
 func (p *Proxy) longestStorePause() time.Duration {
 	if p.snapshot.Load() == nil || p.storeReaders() == nil {
