assign: a test of the wait before an engine is taken over

Changing the code on purpose showed that no test noticed a manager that begins at once. The new one takes a manager away; it fails with no handover wait, and with orders after 1 s.

--- a/coord/assign/assign_test.go
+++ b/coord/assign/assign_test.go
@@ -220,3 +220,42 @@
 		t.Errorf("candidates (-want +got):\n%s", d)
 	}
 }
+
+// TestHandoverWaits takes the manager of an engine away. The next one must wait for a second
+// before it manages the engine, in which the others learn of the change, and for longer than the
+// lease of a holder, 3 s, before it gives orders.
+func TestHandoverWaits(t *testing.T) {
+	const (
+		learnTime = time.Second
+		lease     = 3 * time.Second
+	)
+	f := newFleet()
+	var d time.Duration
+	for ; d < 5*time.Second; d += testStep {
+		f.managers(epoch.Add(d), allHear, nil)
+	}
+	lost := f.update(epoch.Add(d), 0, func(int) bool { return true }, nil)
+	if len(lost) == 0 {
+		t.Fatal("entry-0 manages no engine that could be taken over")
+	}
+	takenOver := map[string]bool{}
+	for _, a := range lost {
+		takenOver[a.Engine.Instance] = true
+	}
+	lostAt := d
+	for ; d < lostAt+10*time.Second; d += testStep {
+		for i := 1; i < testEntries; i++ {
+			for _, a := range f.update(epoch.Add(d), i, func(o int) bool { return o != 0 }, nil) {
+				if !takenOver[a.Engine.Instance] {
+					continue
+				}
+				if d < lostAt+learnTime {
+					t.Errorf("%s is managed again after %s", a.Engine.Instance, d-lostAt)
+				}
+				if a.OrdersFrom.Before(epoch.Add(lostAt + lease)) {
+					t.Errorf("%s may get orders %s after its manager was lost", a.Engine.Instance, a.OrdersFrom.Sub(epoch.Add(lostAt)))
+				}
+			}
+		}
+	}
+}
