frame, proxy, plain: log and count how answers were framed and how they ended

The request's line could not tell an answer that ended with its connection from one that was framed and complete. It gets framing, end and, if not HTTP/1.1, the caller's protocol; counters proxy_answers_total and agent_answers_total.

--- a/agent/host/call.go
+++ b/agent/host/call.go
@@ -9,6 +9,7 @@
 	"cranberrypoint.example/agent/engine"
 	"cranberrypoint.example/agent/plain"
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/wire"
 	"cranberrypoint.example/coord/worker"
 )
@@ -176,6 +177,7 @@
 			h.step(worker.CallData{Run: x.Run, Data: p})
 			return c.waitWhilePaused(ctx)
 		},
+		Ended: func(f frame.Framing, e frame.End) { h.metrics.answers.WithLabelValues(string(f), string(e)).Inc() },
 	})
 	if err != nil {
 		return nil, err
--- a/agent/host/metrics.go
+++ b/agent/host/metrics.go
@@ -13,6 +13,8 @@
 	allocationsFreed prometheus.Counter
 	tokensReserved   prometheus.Counter
 	tokensReturned   prometheus.Counter
+	// answers counts the answers of plain services.
+	answers *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -23,6 +25,7 @@
 		traceEvents:      opsrv.Counters(r, "agent_events_total", "Events added to the trace log, by kind.", "kind"),
 		allocationsFreed: opsrv.Counter(r, "agent_engine_freed_total", "Allocations freed at the engine because no running run owned them."),
 		tokensReserved:   opsrv.Counter(r, "agent_tokens_reserved_total", "Tokens of workspace limits granted to reservations."),
+		answers:          opsrv.Counters(r, "agent_answers_total", "Answers of the plain service, by how they were framed and how reading them ended.", "framing", "end"),
 		tokensReturned:   opsrv.Counter(r, "agent_tokens_returned_total", "Reserved tokens that were not used and were returned."),
 	}
 }
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/hops"
 	"cranberrypoint.example/coord/wire"
 )
@@ -60,6 +61,8 @@
 	// Data is called with each part of the body, in order, and may keep it. An error ends
 	// the call.
 	Data func([]byte) error
+	// Ended is called once after Head, when the body has ended or reading it has failed.
+	Ended func(frame.Framing, frame.End)
 }
 
 // Call sends the request in o to the service, passes the response to s and returns the
@@ -84,7 +87,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	s.Head(&wire.Head{Status: int32(resp.StatusCode), Headers: WireHeaders(resp.Header)})
-	if err := copyBody(resp.Body, s); err != nil {
+	err = copyBody(resp.Body, s)
+	s.Ended(frame.Of(resp), frame.EndOf(err))
+	if err != nil {
 		// The service has answered, so WithRan overrides the default of NotRun.
 		return nil, fault.NotRun(fault.UpstreamError, "the upstream's answer broke off: %v", err).WithRan(wire.Ran_RAN_YES)
 	}
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/frame"
 )
 
 const (
@@ -66,7 +67,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
-	Body   io.ReadCloser
+	// Framing is what marks the end of the body.
+	Framing frame.Framing
+	Body    io.ReadCloser
 }
 
 // Error is the failure of a request for which Do returns no response: it was not sent, or no
@@ -293,9 +296,9 @@
 	}
 	b := &responseBody{pool: p, address: address, maxIdle: q.MaxIdle, conn: c, detachContext: detachContext, ReadCloser: resp.Body}
 	b.expiresAt = time.Now().Add(idleTimeout(resp.Header))
-	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	b.reuse = requestWritten && delimited && !resp.Close && resp.ProtoAtLeast(1, 1)
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: b}, nil
+	f := frame.Of(resp)
+	b.reuse = requestWritten && f != frame.Connection && !resp.Close && resp.ProtoAtLeast(1, 1)
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: f, Body: b}, nil
 }
 
 // readResponse reads the head of the response to q. It skips interim responses. It also skips
@@ -315,7 +318,7 @@
 		if q.Matches == nil || q.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if frame.Of(resp) == frame.Connection {
 			return nil, errNoMatch
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -9,6 +9,7 @@
 
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/rules"
 	"github.com/sirupsen/logrus"
 )
@@ -75,8 +76,12 @@
 	// longestPause is the longest time between two parts of a streamed answer.
 	longestPause time.Duration
 	// lastPart is the time from the request to the last part of the answer.
-	lastPart      time.Duration
-	bytes         int64
+	lastPart time.Duration
+	bytes    int64
+	// framing and end say how the upstream framed its answer and how reading it ended; empty
+	// if no answer was relayed.
+	framing       frame.Framing
+	end           frame.End
 	configVersion uint64
 	configAge     time.Duration
 }
@@ -155,6 +160,14 @@
 	_, _ = x.w.Write(b)
 }
 
+// unusualProtocol returns the HTTP version of the caller if it isn't 1.1, otherwise "".
+func (x *exchange) unusualProtocol() string {
+	if x.r.ProtoMajor == 1 && x.r.ProtoMinor == 1 {
+		return ""
+	}
+	return x.r.Proto
+}
+
 // finish records the end of an exchange in the metrics and the log.
 func (p *Proxy) finish(x *exchange) {
 	r := x.record
@@ -172,7 +185,10 @@
 	if x.route != nil {
 		f["route"] = x.route.Name
 	}
-	for k, v := range map[string]string{"cause": r.cause, "instance": r.instance, "prefill": r.prefillInstance} {
+	for k, v := range map[string]string{
+		"cause": r.cause, "instance": r.instance, "prefill": r.prefillInstance, "framing": string(r.framing), "end": string(r.end),
+		"protocol": x.unusualProtocol(),
+	} {
 		if v != "" {
 			f[k] = v
 		}
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -12,6 +12,7 @@
 	duration        *prometheus.HistogramVec
 	firstEvent      prometheus.Histogram
 	sends           *prometheus.CounterVec
+	answers         *prometheus.CounterVec
 	connections     prometheus.Counter
 	storeReads      prometheus.Counter
 	storeReadErrors prometheus.Counter
@@ -28,6 +29,7 @@
 		duration:        opsrv.Latencies(r, "proxy_request_seconds", "Time from a request to the end of its answer.", "kind", "outcome"),
 		firstEvent:      opsrv.Latency(r, "proxy_first_event_seconds", "Time from a request to the first part of a stream."),
 		sends:           opsrv.Counters(r, "proxy_sends_total", "Sends to upstreams.", "purpose", "result"),
+		answers:         opsrv.Counters(r, "proxy_answers_total", "Answers of upstreams that were relayed, by how they were framed and how reading them ended.", "framing", "end"),
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -10,6 +10,7 @@
 
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/hops"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/picker"
@@ -126,6 +127,8 @@
 // caller's connection must be closed, so that the answer can't look complete.
 func (p *Proxy) relay(x *exchange, resp *upconn.Response, flush bool) error {
 	defer func() { _ = resp.Body.Close() }()
+	x.record.framing = resp.Framing
+	x.record.end = frame.Abandoned
 	h := x.w.Header()
 	closing := h.Get("Connection")
 	hops.Strip(resp.Header)
@@ -156,6 +159,9 @@
 				}
 			}
 		}
+		if err != nil {
+			x.record.end = frame.EndOf(err)
+		}
 		if err == io.EOF {
 			return nil
 		}
@@ -170,6 +176,7 @@
 func (p *Proxy) deliver(x *exchange, u roster.Upstream, resp *upconn.Response, info calls.ResponseInfo, purpose string, flush bool) {
 	x.record.instance = u.Instance
 	err := p.relay(x, resp, flush)
+	p.metrics.answers.WithLabelValues(string(x.record.framing), string(x.record.end)).Inc()
 	if err == nil {
 		x.record.outcome = outcomeAnswered
 		p.recordResult(x, u, statusResult(resp.Status), info.Load, purpose)
