frame, upconn: an answer that ends inside an event has been broken off

Callers saw: 200, the engine's signature, a part of the stream and the regular end of the entry's own framing. Cause: an answer with neither a length nor chunks ends with its connection. The end of the connection was taken as proof that the answer was whole; when an engine crashes, its kernel closes the connection in the same way. The entry then wrote its own last chunk. Class: the end of a transport taken as the end of a message. A length of a stream is no longer passed on, since it would promise an end before the stream is known to have one. What nothing can tell: a body without framing, other than a stream, that is closed early; a stream without framing that is closed just between two events.

--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -65,7 +65,8 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body in bytes, or -1 if unknown.
+	// Length is the length of the body in bytes, or -1 if it is unknown or the body is a stream
+	// of events, of which it doesn't prove the end.
 	Length int64
 	// Framing is what marks the end of the body.
 	Framing frame.Framing
@@ -294,11 +295,12 @@
 		requestWritten = e == nil
 	default:
 	}
-	b := &responseBody{pool: p, address: address, maxIdle: q.MaxIdle, conn: c, detachContext: detachContext, ReadCloser: resp.Body}
+	body := frame.NewBody(resp)
+	b := &responseBody{pool: p, address: address, maxIdle: q.MaxIdle, conn: c, detachContext: detachContext, ReadCloser: body}
 	b.expiresAt = time.Now().Add(idleTimeout(resp.Header))
 	f := frame.Of(resp)
 	b.reuse = requestWritten && f != frame.Connection && !resp.Close && resp.ProtoAtLeast(1, 1)
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: f, Body: b}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: body.Length, Framing: f, Body: b}, nil
 }
 
 // readResponse reads the head of the response to q. It skips interim responses. It also skips
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -138,6 +138,7 @@
 	if closing != "" {
 		h.Set("Connection", closing)
 	}
+	h.Del("Content-Length")
 	if resp.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
