plain: a stream that ends inside an event has been broken off

Callers of the OpenAI door saw, on routes of plain services: 200, a part of a stream of events and a regular end. Cause: as at the users' door; the agent's HTTP client reports the end of the connection of an answer without framing as its end, and the agent reports the run as done. Fix: the agent reads the answer through frame.Body as the entry does, so the run fails and the entry aborts the answer. The stand-in's endings moved to coord/fake, which both doors' stand-ins use.

--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -86,8 +86,12 @@
 		return nil, callError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	b := frame.NewBody(resp)
+	if b.Length < 0 {
+		resp.Header.Del("Content-Length")
+	}
 	s.Head(&wire.Head{Status: int32(resp.StatusCode), Headers: WireHeaders(resp.Header)})
-	err = copyBody(resp.Body, s)
+	err = copyBody(b, s)
 	s.Ended(frame.Of(resp), frame.EndOf(err))
 	if err != nil {
 		// The service has answered, so WithRan overrides the default of NotRun.
--- a/platform/stand/ending.go
+++ b/coord/fake/ending.go
@@ -1,4 +1,4 @@
-package stand
+package fake
 
 import (
 	"fmt"
@@ -13,7 +13,7 @@
 // which the receiver reads the bytes. A reset drops what it has not read.
 const resetDelay = 30 * time.Millisecond
 
-// Ending is how a runner frames its successful answers and how they end.
+// Ending is how an upstream frames an answer and how the answer ends.
 type Ending struct {
 	Framing frame.Framing
 	// Missing is the number of bytes at the end of the body that are not sent.
@@ -25,25 +25,12 @@
 	Reset bool
 }
 
-// SetEnding sets how the answers that begin from now on are framed and end. Their bodies are sent
-// at once. Nil leaves the framing to the HTTP server.
-func (r *Runner) SetEnding(e *Ending) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ending = e
-}
-
-// writeEnding writes an answer with the ending that is set and reports whether one is set.
-func (r *Runner) writeEnding(w http.ResponseWriter, body string) bool {
-	r.mu.Lock()
-	e := r.ending
-	r.mu.Unlock()
-	if e == nil {
-		return false
-	}
+// Write writes an answer with status 200, the headers of w and this ending to the connection of
+// w, and ends the connection.
+func (e Ending) Write(w http.ResponseWriter, body string) (err error) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
-		return false
+		return err
 	}
 	defer func() { _ = c.Close() }()
 	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n"))
@@ -51,13 +38,13 @@
 	e.writeBody(c, body)
 	if t, ok := c.(*net.TCPConn); ok && e.Reset {
 		time.Sleep(resetDelay)
-		_ = t.SetLinger(0)
+		return t.SetLinger(0)
 	}
-	return true
+	return nil
 }
 
 // writeBody writes the headers of the framing and the body without its missing bytes.
-func (e *Ending) writeBody(c net.Conn, body string) {
+func (e Ending) writeBody(c net.Conn, body string) {
 	sent := body[:max(0, len(body)-e.Missing)]
 	marked := e.Marked || len(sent) == len(body)
 	switch e.Framing {
--- a/local/stand/service.go
+++ b/local/stand/service.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cranberrypoint.example/coord/fake"
 	"github.com/gorilla/mux"
 )
 
@@ -17,6 +18,8 @@
 	effects map[string]int
 	seen    []http.Header
 	urls    []string
+	// ending is how answers end; nil for the usual end.
+	ending *fake.Ending
 }
 
 // NewService returns a service without effects.
@@ -54,17 +57,32 @@
 	return m
 }
 
+// SetEnding sets how the answers that begin from now on are framed and end. Such an answer has
+// the request's body as its own, and the media type that the request accepts. Nil means the
+// usual answers.
+func (s *Service) SetEnding(e *fake.Ending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = e
+}
+
 func (s *Service) serve(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("X-Request-Id")
 	s.mu.Lock()
 	s.effects[id]++
 	s.seen = append(s.seen, q.Header.Clone())
 	s.urls = append(s.urls, q.URL.String())
+	e := s.ending
 	s.mu.Unlock()
 	if d, err := time.ParseDuration(q.URL.Query().Get("delay")); err == nil {
 		time.Sleep(d)
 	}
 	b, _ := io.ReadAll(q.Body)
+	if e != nil {
+		w.Header().Set("Content-Type", q.Header.Get("Accept"))
+		_ = e.Write(w, string(b))
+		return
+	}
 	w.Header().Set("X-Service", "plain")
 	w.Header().Set("Trailer", "X-Count")
 	if q.URL.Query().Get("status") != "" {
