frame, proxy: reset an HTTP/1.0 caller's connection if its answer breaks off

Callers that speak HTTP/1.0 saw a complete answer whenever one broke off, in any way and framing, or the entry was killed. Cause: the entry aborts by http.ErrAbortHandler, and a killed process by its kernel; both close the connection in an orderly way. For an answer without a length or chunks, as HTTP/1.0 callers get, that close is the end. Fix: such a connection is set to be reset on close while the handler runs, and set back when it returns; the kernel keeps to it after a kill. Not used for HTTP/1.1: there the missing last chunk shows the break, and a reset would drop bytes that the caller has yet to read.

--- a/entry/proxy/callers.go
+++ b/entry/proxy/callers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/rules"
 )
 
@@ -93,6 +94,9 @@
 
 // connContext adds the connection to the context of its requests, as http.Server.ConnContext.
 func (c *connTracker) connContext(ctx context.Context, n net.Conn) context.Context {
+	if x, ok := n.(*clientConn); ok {
+		ctx = frame.WithConn(ctx, x.Conn)
+	}
 	return context.WithValue(ctx, connKey{}, n)
 }
 
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/digest"
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/limits"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
@@ -191,7 +192,7 @@
 		stopOps = append(stopOps, opsrv.Serve(l, p.metrics.registry, trace.NewLog(s.VM, traceEvents), p.Status))
 	}
 	p.http = &http.Server{
-		Handler:        p,
+		Handler:        frame.Handler(p),
 		MaxHeaderBytes: maxHeaderBytes,
 		ConnState:      p.clientConns.trackState,
 		ConnContext:    p.clientConns.connContext,
