--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -19,6 +19,7 @@
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/feed"
 	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/coord/router"
@@ -127,7 +128,11 @@
 	e.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), e.pool, e.log, e.applyConfig, nil)
 	e.metrics.registry.MustRegister(e.feed.Counts.Collectors(opsrv.Namespace)...)
 	stopOps := opsrv.Serve(k.Ops, e.metrics.registry, e.trace, e.Status)
-	e.httpServer = &http.Server{Handler: e.withConnectionClose(e.handler()), ReadHeaderTimeout: readHeaderTimeout}
+	e.httpServer = &http.Server{
+		Handler:           frame.Handler(e.withConnectionClose(e.handler())),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ConnContext:       frame.WithConn,
+	}
 	e.tasks.Go(func() { _ = link.Serve(e.ctx, k.Peers, k.TLS, e.feed, nil) })
 	e.tasks.Go(func() { _ = e.httpServer.Serve(k.More[0]) })
 	e.tasks.Go(e.tickLoop)
--- a/local/world/broken_test.go
+++ b/local/world/broken_test.go
@@ -111,3 +111,17 @@
 		}
 	}
 }
+
+// TestBrokenOffPlainAnswerToOldCaller guards against a stream that breaks off and looks complete to a
+// caller that speaks HTTP/1.0. To such a caller an orderly close of its connection is the end.
+func TestBrokenOffPlainAnswerToOldCaller(t *testing.T) {
+	w := start(t)
+	for name, e := range endings {
+		setEnding(w, &e)
+		c := dialEntry(t, w)
+		sendEvents(t, c, "HTTP/1.0")
+		if a := readRaw(c); a.complete && a.status == http.StatusOK {
+			t.Errorf("%s: status %d, %d bytes, complete", name, a.status, len(a.body))
+		}
+	}
+}
