edge: abort the answer to a caller who has closed its sending side

Callers of the OpenAI door who close their sending side after the request saw a part of the stream with a regular end, and for a completion that isn't streamed a 200 with no body. Cause: the end of the request's context was taken for a caller that can't read any more, and the handler returned. The server of the standard library then completes the answer. Same class: the end of one direction taken as the end of the other. Evidence: TestHalfClosedCallerSeesBreak (both protocols) and TestHalfClosedCallerGetsNoEmptyAnswer failed before in local/world; entry/proxy passes the former, since there the upstream's read fails and deliver aborts. Fix: serveCall aborts the connection whenever it drops a request.

--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -198,8 +198,9 @@
 }
 
 // serveCall hands a call to the router and writes its answer. It returns when the answer
-// is finished, the caller has disconnected or the body can't be read. The name in the answer
-// is that of router.Accepted: a request that repeats an idempotency key may get the name of
+// is finished or the body can't be read. If the caller has disconnected, it aborts the
+// connection: the caller may have closed only its sending side, and would take what it has for
+// the whole answer, or an empty one. The name in the answer is that of router.Accepted: a request that repeats an idempotency key may get the name of
 // an earlier one instead of c.Name.
 func (e *Edge) serveCall(w http.ResponseWriter, q *http.Request, c router.Call, body *requestBody, a answerWriter) {
 	id, s := e.startRequest(c, body)
@@ -224,7 +225,7 @@
 			}
 			if err != nil {
 				e.dropRequest(id)
-				return
+				panic(http.ErrAbortHandler)
 			}
 		}
 		if err := e.bodyError(s); err != nil {
@@ -236,7 +237,7 @@
 		case <-s.wake:
 		case <-q.Context().Done():
 			e.dropRequest(id)
-			return
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
--- a/local/world/broken_test.go
+++ b/local/world/broken_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,3 +126,53 @@
 		}
 	}
 }
+
+// TestHalfClosedCallerSeesBreak guards against an answer that is given up since its caller has closed
+// its sending side, and that then ends as if it were complete.
+func TestHalfClosedCallerSeesBreak(t *testing.T) {
+	w := start(t)
+	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		c := dialEntry(t, w)
+		sendChat(t, c, protocol, true)
+		r := bufio.NewReader(c)
+		a, err := http.ReadResponse(r, &http.Request{Method: http.MethodPost})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := a.Body.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		b, err := io.ReadAll(a.Body)
+		if err == nil && !strings.HasSuffix(string(b), "data: [DONE]\n\n") {
+			t.Errorf("%s: a complete answer that ends with %q", protocol, b[max(0, len(b)-40):])
+		}
+		_ = a.Body.Close()
+	}
+}
+
+// TestHalfClosedCallerGetsNoEmptyAnswer is TestHalfClosedCallerSeesBreak for a completion that is not
+// streamed, of which nothing has been sent when it is given up.
+func TestHalfClosedCallerGetsNoEmptyAnswer(t *testing.T) {
+	w := start(t)
+	c := dialEntry(t, w)
+	sendChat(t, c, "HTTP/1.1", false)
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if a := readRaw(c); a.complete && a.body == "" {
+		t.Errorf("a complete answer with status %d and no body", a.status)
+	}
+}
+
+// sendChat asks for a long completion.
+func sendChat(t *testing.T, c net.Conn, protocol string, stream bool) {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"chat-1","messages":[{"role":"user","content":"hello"}],"max_tokens":400,"stream":%t}`, stream)
+	_, err := fmt.Fprintf(c, "POST /v1/chat/completions %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", protocol, world.ExampleKey, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+}
