--- /dev/null
+++ b/coord/fake/endless.go
@@ -0,0 +1,19 @@
+package fake
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// endlessPart is what Endless writes again and again: white space, which JSON allows anywhere.
+var endlessPart = strings.Repeat(" ", 32<<10)
+
+// Endless answers with a body that begins as given and then goes on until the caller closes the
+// connection.
+func Endless(w http.ResponseWriter, body string) {
+	_, err := fmt.Fprint(w, body)
+	for err == nil {
+		_, err = fmt.Fprint(w, endlessPart)
+	}
+}
