engine: bound the answers that are read

Answers of an engine without an end were held in memory until the request's time was up. TestEndlessAnswerIsCutOff failed before for prefill and the list of allocations with a timeout; decode reads lines and was bounded.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -122,6 +122,10 @@
 	return fmt.Sprintf("the engine answered %d: %s", e.Status, e.Text)
 }
 
+// maxAnswerBytes limits how much of the body of an answer is read, other than that of Decode, which
+// is read line by line.
+const maxAnswerBytes = 1 << 20
+
 // maxErrorTextBytes limits how much of the body of an error response is read.
 const maxErrorTextBytes = 512
 
@@ -183,7 +187,7 @@
 		return Allocations{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return a, json.NewDecoder(resp.Body).Decode(&a)
+	return a, json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&a)
 }
 
 // Decode generates a response and calls f with the text of each token. It returns f's error,
@@ -222,7 +226,7 @@
 		return out, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	err = json.NewDecoder(resp.Body).Decode(&out)
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&out)
 	if err == io.EOF {
 		err = nil
 	}
--- /dev/null
+++ b/agent/engine/engine_test.go
@@ -0,0 +1,31 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"cranberrypoint.example/coord/fake"
+)
+
+// TestEndlessAnswerIsCutOff guards against answers of an engine without an end, which would be held
+// in memory until the call's time is up. The client must give up before that.
+func TestEndlessAnswerIsCutOff(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fake.Endless(w, "{") }))
+	defer s.Close()
+	c := New(s.URL)
+	for name, call := range map[string]func(context.Context) error{
+		"prefill":     func(ctx context.Context) error { _, err := c.Prefill(ctx, Prefill{}); return err },
+		"allocations": func(ctx context.Context) error { _, err := c.ListAllocations(ctx); return err },
+		"decode":      func(ctx context.Context) error { return c.Decode(ctx, Decode{}, nil) },
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		if err := call(ctx); err == nil || errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("%s: error %v; want one that isn't a timeout", name, err)
+		}
+		cancel()
+	}
+}
