proxy: a timeout for the request that frees a KV cache

An engine that took the connection and said nothing held the request, its goroutine and one of the engine's connections for good. TestSilentEngineDoesNotHoldFree failed before: it still waited after 5 s.

--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -18,6 +19,8 @@
 	kvCacheLifetimeShare = 0.7
 	// maxHandleBytes limits the body of the response to a prefill.
 	maxHandleBytes = 64 << 10
+	// freeTimeout bounds the request to free a KV cache. The engine drops an unused one by itself.
+	freeTimeout = time.Second
 )
 
 // kvCache is a prompt's KV cache, held by the engine that prefilled the prompt. The zero value
@@ -184,8 +187,10 @@
 
 // freeKVCache asks an engine to free a KV cache that no engine will fetch.
 func (p *Proxy) freeKVCache(c candidate, h calls.KVHandle) {
+	ctx, cancel := context.WithTimeout(p.ctx, freeTimeout)
+	defer cancel()
 	method, path := p.codec.FreeRequest(h)
-	resp, err := p.conns.Do(p.ctx, c.upstream.Address, &upconn.Request{Method: method, Target: path, Host: c.upstream.Address, Header: http.Header{}})
+	resp, err := p.conns.Do(ctx, c.upstream.Address, &upconn.Request{Method: method, Target: path, Host: c.upstream.Address, Header: http.Header{}})
 	if err != nil {
 		p.log.WithField("event", "free-failed").WithField("instance", c.upstream.Instance).WithError(err).Warn("KV cache was not freed")
 		return
