engine: an answer to a prefill without a handle is an error

An answer that broke off after its head, without a length, was taken for a result with an empty handle, and the failure showed only when another engine fetched it. TestEmptyAnswerIsNoHandle failed before.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -148,7 +148,11 @@
 // engine under PrefillResult.Handle.
 func (c *Client) Prefill(ctx context.Context, p Prefill) (r PrefillResult, err error) {
 	defer fault.Annotate(&err, "prefill")
-	return post[PrefillResult](ctx, c, "/v1/prefill", p)
+	r, err = post[PrefillResult](ctx, c, "/v1/prefill", p)
+	if err == nil && r.Handle == "" {
+		err = eris.New("the answer names no handle")
+	}
+	return r, err
 }
 
 // Import makes the engine copy a KV cache from the engine at i.Source.
--- a/agent/engine/engine_test.go
+++ b/agent/engine/engine_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fake"
+	"cranberrypoint.example/coord/frame"
 )
 
 // TestEndlessAnswerIsCutOff guards against answers of an engine without an end, which would be held
@@ -29,3 +30,17 @@
 		cancel()
 	}
 }
+
+// TestEmptyAnswerIsNoHandle guards against an answer to a prefill that breaks off after its head and
+// is taken for a result.
+func TestEmptyAnswerIsNoHandle(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := (fake.Ending{Framing: frame.Connection}).Write(w, ""); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer s.Close()
+	if r, err := New(s.URL).Prefill(t.Context(), Prefill{}); err == nil {
+		t.Errorf("result %v; want an error", r)
+	}
+}
