--- a/coord/fake/ending.go
+++ b/coord/fake/ending.go
@@ -21,6 +21,9 @@
 	// Marked is true if the framing marks the end where the sent bytes end, although bytes
 	// are missing.
 	Marked bool
+	// Endless is true if the head or, with a framing, the body goes on until the connection is
+	// closed.
+	Endless bool
 	// Reset is true if the connection is reset instead of closed.
 	Reset bool
 }
@@ -36,6 +39,9 @@
 	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n"))
 	_ = w.Header().Write(c)
 	e.writeBody(c, body)
+	for e.Endless && err == nil {
+		_, err = c.Write([]byte(endlessPart))
+	}
 	if t, ok := c.(*net.TCPConn); ok && e.Reset {
 		time.Sleep(resetDelay)
 		return t.SetLinger(0)
@@ -43,7 +49,8 @@
 	return nil
 }
 
-// writeBody writes the headers of the framing and the body without its missing bytes.
+// writeBody writes the headers of the framing and the body without its missing bytes. Without a
+// framing it writes a header that is not finished.
 func (e Ending) writeBody(c net.Conn, body string) {
 	sent := body[:max(0, len(body)-e.Missing)]
 	marked := e.Marked || len(sent) == len(body)
@@ -64,5 +71,7 @@
 		}
 	case frame.Connection:
 		_, _ = fmt.Fprintf(c, "Connection: close\r\n\r\n%s", sent)
+	default:
+		_, _ = fmt.Fprint(c, "X-Long: ")
 	}
 }
