script, store: tests that don't depend on the machine's speed

Traced: a watcher tries a platform that was down again after 0.5 to 1.5 s, and the change then spreads by comparisons every 0.5 s on average, which can take longer. It now waits for the line for the 3 s in which a change must be in force, and asks after it. - TestEndlessAnswerIsCutOff of the store wanted the read of 8 MB to end within 0.8 s. It now bounds the bytes that are taken, which is what it guards; without the bound in the client it fails again.

--- a/coord/fake/endless.go
+++ b/coord/fake/endless.go
@@ -10,10 +10,11 @@
 var endlessPart = strings.Repeat(" ", 32<<10)
 
 // Endless answers with a body that begins as given and then goes on until the caller closes the
-// connection.
-func Endless(w http.ResponseWriter, body string) {
-	_, err := fmt.Fprint(w, body)
-	for err == nil {
-		_, err = fmt.Fprint(w, endlessPart)
+// connection. It returns how many bytes were written.
+func Endless(w http.ResponseWriter, body string) (written int64) {
+	n, err := fmt.Fprint(w, body)
+	for written = int64(n); err == nil; written += int64(n) {
+		n, err = fmt.Fprint(w, endlessPart)
 	}
+	return written
 }
--- a/local/script/cmds_test.go
+++ b/local/script/cmds_test.go
@@ -264,6 +264,18 @@
 	time.Sleep(d)
 }
 
+// logged NAME DURATION TEXT waits until the log of a process has a text, for a time at most.
+func loggedCmd(s *testscript.TestScript, neg bool, args []string) {
+	needs(s, neg, args, 3, "logged NAME DURATION TEXT")
+	d, err := time.ParseDuration(args[1])
+	s.Check(err)
+	for end := time.Now().Add(d); !strings.Contains(s.ReadFile(args[0]+".log"), args[2]); time.Sleep(poll) {
+		if time.Now().After(end) {
+			s.Fatalf("the log of %s has no %q after %s", args[0], args[2], d)
+		}
+	}
+}
+
 // engines MODEL... waits until each engine has just these models loaded.
 func enginesCmd(s *testscript.TestScript, neg bool, args []string) {
 	needs(s, neg, args, 1, "engines MODEL...")
--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -77,6 +77,7 @@
 			"put":      putCmd,
 			"mode":     modeCmd,
 			"listed":   listedCmd,
+			"logged":   loggedCmd,
 			"effects":  effectsCmd,
 			"empty":    emptyCmd,
 			"ops":      opsCmd,
