store, roster, proxy: a store that is restored from an older copy

The store may lose its newest writes, with revisions that are given out again; it states an epoch that rises then. Before, entries compared revisions alone. Those that are missing after a restore are kept as after an outage. - Entries of an earlier release state epoch 0, which counts as the oldest; they don't see the new fields.

--- a/coord/calls/calls.go
+++ b/coord/calls/calls.go
@@ -144,16 +144,34 @@
 type Listing struct {
 	// Rules are the newest configuration; nil if none was published yet.
 	Rules *rules.Rules
+	// RulesEpoch is the epoch in which the rules were read. In the listing of another entry it is
+	// lower than Epoch if they have outlived a restore of the store.
+	RulesEpoch uint64
 	// Upstreams are the registered upstreams.
 	Upstreams []roster.Upstream
+	// Epoch is the epoch of the store. It rises each time that the store is restored from a copy
+	// and has lost its newest writes. The first is at least 1; 0 means that the store, or the entry
+	// that sent the listing, states none.
+	Epoch uint64
 	// Revision is the store's revision when List began to read. Items that are read later may
-	// be newer.
+	// be newer. The same revision may be given out again in a later epoch.
 	Revision uint64
 	// InvalidEntries counts the upstreams in the store that are left out of Upstreams because
 	// they can't be parsed or are invalid.
 	InvalidEntries int
 }
 
+// Position returns the position of the listing in the history of the store.
+func (l Listing) Position() Position { return Position{Epoch: l.Epoch, Revision: l.Revision} }
+
+// Position orders states of the store. Revisions can be compared only within an epoch.
+type Position struct{ Epoch, Revision uint64 }
+
+// Before reports whether a position is older than another.
+func (p Position) Before(o Position) bool {
+	return p.Epoch < o.Epoch || p.Epoch == o.Epoch && p.Revision < o.Revision
+}
+
 // Store reads the configuration and upstreams that the platform publishes.
 type Store interface {
 	// List reads everything. Each item that it returns was current at some moment during the
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -3,7 +3,8 @@
 //
 // It tolerates outages of the store. Registrations may expire during an outage although
 // their upstreams are alive, so an upstream that is missing from the first lists after an
-// outage is kept for a grace period.
+// outage is kept for a grace period. So is one that is missing after the store was restored from
+// a copy, while one that had left before doesn't come back by the copy.
 //
 // Time is passed in by the caller, and nothing here locks or does I/O.
 package roster
@@ -46,6 +47,15 @@
 	Born int64
 }
 
+// List is a list of upstreams that was read from the store.
+type List struct {
+	// Epoch is the store's epoch, which rises when the store is restored from a copy; 0 if unknown.
+	Epoch uint64
+	// ReadAt is when the read began.
+	ReadAt    time.Time
+	Upstreams []Upstream
+}
+
 // Change is the difference of one upstream between two lists. Before is nil for an upstream
 // that was added, After for one that was removed.
 type Change struct {
@@ -60,22 +70,70 @@
 	keepUntil map[string]time.Time
 	// graceEnd is the end of the grace period after the last outage.
 	graceEnd time.Time
+	// epoch is the store's epoch of the last list.
+	epoch uint64
+	// listed is the last list as it counts.
+	listed     []Upstream
+	departures departures
+	// lapse is the time after which the store drops the registration of a silent upstream.
+	lapse time.Duration
 }
 
+// Option configures a Roster.
+type Option func(*Roster)
+
+// WithLapse sets the time after which the store drops the registration of a silent upstream.
+func WithLapse(d time.Duration) Option { return func(r *Roster) { r.lapse = d } }
+
 // New returns an empty roster.
-func New() *Roster {
-	return &Roster{upstreams: map[string]Upstream{}, keepUntil: map[string]time.Time{}}
+func New(opts ...Option) *Roster {
+	r := &Roster{upstreams: map[string]Upstream{}, keepUntil: map[string]time.Time{}, departures: departures{}, lapse: defaultLapse}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Listed returns the last list as it counts: without the upstreams that had left before the store
+// was restored, and with those leaving that have ever said so.
+func (r *Roster) Listed() []Upstream { return r.listed }
+
+// Hidden returns the upstreams that had left before the store was restored and that it may still
+// list, for other processes.
+func (r *Roster) Hidden(now time.Time) []Departure { return r.departures.hidden(now) }
+
+// Hide takes over what another process returned as Hidden.
+func (r *Roster) Hide(now time.Time, l []Departure) { r.departures.hide(now, l) }
+
+// Announce records that an upstream has said itself that it is leaving, and returns the change; ok
+// is false if there is no such upstream or that was known.
+func (r *Roster) Announce(now time.Time, instance string) (c Change, ok bool) {
+	u, ok := r.upstreams[instance]
+	if !ok || u.Leaving {
+		return c, false
+	}
+	r.departures.announce(now, incarnation{u.Instance, u.Born})
+	before := u
+	u.Leaving = true
+	r.upstreams[instance] = u
+	return Change{&before, &u}, true
 }
 
-// Update replaces the upstreams by a complete list that was read at now, and returns what
-// changed. Upstreams that are missing from the list may be kept after an outage.
-func (r *Roster) Update(now time.Time, list []Upstream) (changes []Change) {
-	if !r.lastUpdate.IsZero() && now.Sub(r.lastUpdate) > minOutage {
+// Update replaces the upstreams by a complete list and returns what changed. Upstreams that are
+// missing from the list may be kept after an outage or a new epoch.
+func (r *Roster) Update(now time.Time, l List) (changes []Change) {
+	hadList := !r.lastUpdate.IsZero()
+	isRestored := hadList && l.Epoch > r.epoch && r.epoch > 0
+	if isRestored || hadList && now.Sub(r.lastUpdate) > minOutage {
 		r.graceEnd = now.Add(gracePeriod)
 	}
-	r.lastUpdate = now
-	next := make(map[string]Upstream, len(list))
-	for _, u := range list {
+	if isRestored {
+		r.departures.restored(now.Add(r.lapse))
+	}
+	r.lastUpdate, r.epoch = now, l.Epoch
+	r.listed = r.departures.apply(now, l)
+	next := make(map[string]Upstream, len(r.listed))
+	for _, u := range r.listed {
 		next[u.Instance] = u
 		delete(r.keepUntil, u.Instance)
 	}
@@ -88,6 +146,7 @@
 			continue
 		}
 		delete(r.keepUntil, i)
+		r.departures.left(now, incarnation{u.Instance, u.Born})
 		changes = append(changes, Change{Before: &u})
 	}
 	for i, u := range next {
--- a/coord/roster/roster_test.go
+++ b/coord/roster/roster_test.go
@@ -25,15 +25,15 @@
 func TestExpiredInOutageIsKept(t *testing.T) {
 	r := New()
 	a, b := newUpstream("a", "1", 1), newUpstream("b", "2", 1)
-	r.Update(start, []Upstream{a, b})
+	r.Update(start, List{Upstreams: []Upstream{a, b}})
 	back := start.Add(minOutage + time.Second)
-	if c := r.Update(back, []Upstream{a}); len(c) > 0 {
+	if c := r.Update(back, List{Upstreams: []Upstream{a}}); len(c) > 0 {
 		t.Errorf("Update just after an outage returned changes %v, want none", c)
 	}
 	if d := cmp.Diff([]string{"a", "b"}, instances(r.Usable())); d != "" {
 		t.Errorf("usable (-want +got):\n%s", d)
 	}
-	r.Update(back.Add(gracePeriod), []Upstream{a})
+	r.Update(back.Add(gracePeriod), List{Upstreams: []Upstream{a}})
 	if d := cmp.Diff([]string{"a"}, instances(r.Usable())); d != "" {
 		t.Errorf("usable after the grace period (-want +got):\n%s", d)
 	}
@@ -44,8 +44,8 @@
 func TestMissingWithoutOutageIsRemoved(t *testing.T) {
 	r := New()
 	a, b := newUpstream("a", "1", 1), newUpstream("b", "2", 1)
-	r.Update(start, []Upstream{a, b})
-	got := r.Update(start.Add(time.Second), []Upstream{a})
+	r.Update(start, List{Upstreams: []Upstream{a, b}})
+	got := r.Update(start.Add(time.Second), List{Upstreams: []Upstream{a}})
 	if d := cmp.Diff([]Change{{Before: &b}}, got); d != "" {
 		t.Errorf("changes (-want +got):\n%s", d)
 	}
@@ -57,8 +57,8 @@
 	r := New()
 	a, b := newUpstream("a", "1", 1), newUpstream("b", "2", 1)
 	a.Leaving = true
-	r.Update(start, []Upstream{a, b})
-	r.Update(start.Add(minOutage+time.Second), []Upstream{newUpstream("c", "2", 2)})
+	r.Update(start, List{Upstreams: []Upstream{a, b}})
+	r.Update(start.Add(minOutage+time.Second), List{Upstreams: []Upstream{newUpstream("c", "2", 2)}})
 	if d := cmp.Diff([]string{"c"}, instances(r.Usable())); d != "" {
 		t.Errorf("usable (-want +got):\n%s", d)
 	}
@@ -69,7 +69,7 @@
 // runs haven't expired. Only the newest instance at an address may be used.
 func TestNewestInstanceOfAnAddress(t *testing.T) {
 	r := New()
-	r.Update(start, []Upstream{newUpstream("old", "1", 1), newUpstream("new", "1", 2), newUpstream("other", "2", 1)})
+	r.Update(start, List{Upstreams: []Upstream{newUpstream("old", "1", 1), newUpstream("new", "1", 2), newUpstream("other", "2", 1)}})
 	if d := cmp.Diff([]string{"new", "other"}, instances(r.Usable())); d != "" {
 		t.Errorf("usable (-want +got):\n%s", d)
 	}
@@ -80,8 +80,8 @@
 func TestRestartWithSameInstanceIsAChange(t *testing.T) {
 	r := New()
 	a, b := newUpstream("a", "1", 1), newUpstream("a", "1", 2)
-	r.Update(start, []Upstream{a})
-	got := r.Update(start.Add(time.Second), []Upstream{b})
+	r.Update(start, List{Upstreams: []Upstream{a}})
+	got := r.Update(start.Add(time.Second), List{Upstreams: []Upstream{b}})
 	if d := cmp.Diff([]Change{{Before: &a, After: &b}}, got); d != "" {
 		t.Errorf("changes (-want +got):\n%s", d)
 	}
--- a/entry/proxy/learn.go
+++ b/entry/proxy/learn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
@@ -10,8 +11,10 @@
 	"cranberrypoint.example/coord/digest"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/link"
+	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -32,10 +35,11 @@
 // if the configuration is the same.
 func (s *snapshot) encodeConfig(old *snapshot) (err error) {
 	if old != nil && old.rules == s.rules {
-		s.config = old.config
+		s.config, s.configHash = old.config, old.configHash
 		return nil
 	}
 	s.config, err = json.Marshal(s.rules.Config())
+	s.configHash = max(1, xxhash.Sum64(s.config))
 	return err
 }
 
@@ -48,11 +52,8 @@
 		return errNoRecentData
 	}
 	defer fault.Annotate(&err, "fetch configuration from entry %s", m.Name)
-	q := &wire.ListRequest{}
 	old := p.snapshot.Load()
-	if old != nil {
-		q.Hash, q.Version = old.hash, old.rules.Version()
-	}
+	q := p.listRequest(old)
 	sent := clock.Now()
 	ctx, cancel := context.WithTimeout(p.ctx, entryTimeout)
 	defer cancel()
@@ -60,9 +61,22 @@
 	if err != nil {
 		return err
 	}
-	age := micros(a.AgeMicros)
-	readAt := sent.Add(-age)
-	if !a.Known || age > maxEntryDataAge && old != nil && readAt <= old.readAt {
+	return p.adoptReply(present(), q, old, a, sent.Add(-micros(a.AgeMicros)))
+}
+
+// listRequest returns a request for what another entry knows beyond a snapshot; nil for none.
+func (p *Proxy) listRequest(old *snapshot) *wire.ListRequest {
+	q := &wire.ListRequest{Sender: p.settings.PeerAddress}
+	if old != nil {
+		q.Hash, q.Version, q.ConfigHash = old.hash, old.rules.Version(), old.configHash
+	}
+	return q
+}
+
+// adoptReply adopts the reply of another entry to a request that was based on a snapshot.
+func (p *Proxy) adoptReply(now moment, q *wire.ListRequest, old *snapshot, a *wire.ListReply, readAt clock.Instant) error {
+	isOld := micros(a.AgeMicros) > maxEntryDataAge
+	if !a.Known || isOld && old != nil && readAt <= old.readAt && len(a.Config) == 0 {
 		return errNoRecentData
 	}
 	l, err := p.mergeListing(q, old, a)
@@ -70,11 +84,14 @@
 		return err
 	}
 	p.metrics.entryListings.Inc()
-	if err := p.adopt(l, readAt); err != nil {
+	p.mu.Lock()
+	p.roster.Hide(now.time, decodeDepartures(now.time, a.Departures))
+	p.mu.Unlock()
+	if err := p.adoptAt(now, l, readAt); err != nil {
 		return err
 	}
-	if age > maxEntryDataAge {
-		// The data was adopted but is old, so the caller asks others or reads the store.
+	if isOld || old != nil && l.Epoch < old.position.Epoch {
+		// The caller asks others or reads the store.
 		return errNoRecentData
 	}
 	return nil
@@ -83,7 +100,7 @@
 // mergeListing returns the other entry's listing: it applies the delta in the reply to this entry's
 // upstreams, and takes the configuration from the reply, or from old if the reply has none.
 func (p *Proxy) mergeListing(q *wire.ListRequest, old *snapshot, a *wire.ListReply) (l calls.Listing, err error) {
-	l.Revision = a.Revision
+	l.Epoch, l.Revision, l.RulesEpoch = a.Epoch, a.Revision, a.ConfigEpoch
 	var d digest.Delta
 	if err := json.Unmarshal(a.Delta, &d); err != nil {
 		return l, err
@@ -118,17 +135,55 @@
 // the list of upstreams that the request names, and the configuration if its version differs.
 func (p *Proxy) List(_ context.Context, q *wire.ListRequest) (a *wire.ListReply, err error) {
 	defer fault.Annotate(&err, "list")
+	return p.listAt(time.Now(), q)
+}
+
+// listAt is List at a given time.
+func (p *Proxy) listAt(now time.Time, q *wire.ListRequest) (a *wire.ListReply, err error) {
 	v := p.snapshot.Load()
 	if v == nil {
 		return &wire.ListReply{}, nil
 	}
 	p.mu.Lock()
 	d := p.upstreams.DeltaSince(q.Hash)
+	hidden := p.roster.Hidden(now)
 	p.mu.Unlock()
-	a = &wire.ListReply{Known: true, AgeMicros: v.age().Microseconds(), Revision: v.revision}
-	if q.Version != v.rules.Version() {
+	if q.Version > v.rules.Version() && q.Sender != "" {
+		p.learnNewerRules(q.Sender)
+	}
+	a = &wire.ListReply{Known: true, AgeMicros: v.age().Microseconds(), Epoch: v.position.Epoch, Revision: v.position.Revision, ConfigEpoch: v.rulesEpoch, Departures: encodeDepartures(now, hidden)}
+	if q.Version != v.rules.Version() || q.ConfigHash != 0 && q.ConfigHash != v.configHash {
 		a.Config = v.config
 	}
 	a.Delta, err = json.Marshal(d)
 	return a, err
 }
+
+func encodeDepartures(now time.Time, l []roster.Departure) (m []*wire.Departure) {
+	for _, d := range l {
+		m = append(m, &wire.Departure{Instance: d.Instance, Born: d.Born, HiddenMicros: d.HiddenUntil.Sub(now).Microseconds()})
+	}
+	return m
+}
+
+func decodeDepartures(now time.Time, m []*wire.Departure) (l []roster.Departure) {
+	for _, d := range m {
+		l = append(l, roster.Departure{Instance: d.Instance, Born: d.Born, HiddenUntil: now.Add(micros(d.HiddenMicros))})
+	}
+	return l
+}
+
+// learnNewerRules fetches the configuration of an entry that has a newer one. An entry that starts
+// after the store was restored from an older copy gets it in no other way.
+func (p *Proxy) learnNewerRules(address string) {
+	if !p.learning.CompareAndSwap(false, true) {
+		return
+	}
+	p.tasks.Go(func() {
+		defer p.learning.Store(false)
+		// The requester may have ended meanwhile, and asks again if not.
+		if err := p.fetchFromEntry(&wire.Member{Name: address, Address: address}); err != nil && !errors.Is(err, errNoRecentData) {
+			p.log.WithField("event", "rules-missed").WithError(err).Debug("a newer configuration was not fetched")
+		}
+	})
+}
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -16,6 +16,7 @@
 	connections     prometheus.Counter
 	storeReads      prometheus.Counter
 	storeReadErrors prometheus.Counter
+	storeEpochs     prometheus.Counter
 	entryListings   prometheus.Counter
 	// admit counts the decisions on engines that this entry manages.
 	admit *admit.Metrics
@@ -33,6 +34,7 @@
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
+		storeEpochs:     opsrv.Counter(r, "store_epochs_total", "New epochs of the store: it was restored from a copy."),
 		admit:           admit.NewMetrics(r),
 		storeReadErrors: opsrv.Counter(r, "store_read_errors_total", "Reads of the store that failed."),
 	}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -63,6 +63,9 @@
 	ConfigMaxAge time.Duration
 	// RetryBudget limits the extra sends to a service.
 	RetryBudget budget.Config
+	// RegistrationLapse is the time after which the store drops the registration of a silent
+	// upstream; 0 for a default.
+	RegistrationLapse time.Duration
 	// LimitOverage is by how much grants may exceed a workspace's rate limit, as a fraction of
 	// the rate.
 	LimitOverage float64
@@ -94,6 +97,8 @@
 
 	snapshot atomic.Pointer[snapshot]
 	draining atomic.Bool
+	// learning is true while a newer configuration is being fetched from another entry.
+	learning atomic.Bool
 	// lastStoreCall is the clock.Instant at which the last store call that succeeded began.
 	lastStoreCall atomic.Int64
 	// shutdown is nil unless a shutdown is in progress.
@@ -103,6 +108,9 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	// olderRulesEpoch is the epoch, plus one, in which a configuration older than the one in
+	// force was last logged; 0 for none.
+	olderRulesEpoch uint64
 	// upstreams is the most recently adopted list of upstreams.
 	upstreams *digest.VersionedList
 	picker    *picker.Picker
@@ -159,7 +167,7 @@
 		links:             links,
 		ctx:               ctx,
 		startedAt:         now,
-		roster:            roster.New(),
+		roster:            roster.New(rosterOptions(s)...),
 		upstreams:         digest.New(),
 		picker:            picker.New(s.DataCentre, uint64(now.UnixNano())),
 		ownedBuckets:      limits.New(),
@@ -215,6 +223,13 @@
 	}, nil
 }
 
+func rosterOptions(s Settings) (opts []roster.Option) {
+	if s.RegistrationLapse > 0 {
+		opts = append(opts, roster.WithLapse(s.RegistrationLapse))
+	}
+	return opts
+}
+
 // enforceClientTimeouts closes overdue client connections until the entry ends.
 func (p *Proxy) enforceClientTimeouts() {
 	t := time.NewTicker(clientTimeoutCheckPeriod)
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -25,13 +25,17 @@
 	// readAt is when this or another entry began to read the data from the store. The rules were
 	// in force at that time.
 	readAt clock.Instant
-	// revision is the revision of the store's contents. It also grows if only the upstreams
-	// change, unlike the version of the configuration, rules.Version.
-	revision uint64
+	// position is that of the store's contents. It also grows if only the upstreams change,
+	// unlike the version of the configuration, rules.Version.
+	position calls.Position
+	// rulesEpoch is the epoch of the store in which the rules were read.
+	rulesEpoch uint64
 	// hash identifies the list of upstreams.
 	hash uint64
-	// config is the configuration in JSON, as sent to other entries.
-	config []byte
+	// config is the configuration in JSON, as sent to other entries, and configHash identifies
+	// its content.
+	config     []byte
+	configHash uint64
 }
 
 // isFresh reports whether the snapshot is recent enough to authenticate keys. A maxAge of 0 means
@@ -47,39 +51,84 @@
 
 func (s *snapshot) age() time.Duration { return clock.Now().Sub(s.readAt) }
 
-// adopt puts a listing into force that was requested at the given instant. Listings older than
-// the current snapshot are ignored.
+// chooseRules returns the rules that are in force once a listing is known, and whether the listing
+// is newer than the snapshot, so that its upstreams count.
+//
+// It answers a store that is restored from an older copy. The store then shows an older
+// configuration and gives out its revisions again, while other entries may still hold what it
+// lost. The order of listings is therefore that of their positions, and the order of
+// configurations that of their versions, which the operator only raises: a key that was revoked
+// stays revoked until the operator's newest configuration is written again.
+func chooseRules(old *snapshot, l calls.Listing, readAt clock.Instant) (r *rules.Rules, isNewer bool) {
+	if old == nil {
+		return l.Rules, true
+	}
+	p := l.Position()
+	isNewer = old.position.Before(p) || p == old.position && readAt >= old.readAt
+	if p.Epoch == old.position.Epoch && readAt < old.readAt {
+		isNewer = false
+	}
+	// Within an epoch an older listing can't have a newer configuration, unless that one is left
+	// from before the restore.
+	hasOutlived := l.Epoch != old.position.Epoch || l.RulesEpoch < l.Epoch
+	switch {
+	case l.Rules == nil || l.Rules.Version() < old.rules.Version():
+		return old.rules, isNewer
+	case !isNewer && (!hasOutlived || l.Rules.Version() == old.rules.Version()):
+		return old.rules, false
+	}
+	return l.Rules, isNewer
+}
+
+// adopt puts a listing into force that was requested at the given instant. Of a listing older than
+// the current snapshot, only a newer configuration counts.
 func (p *Proxy) adopt(l calls.Listing, readAt clock.Instant) error {
-	now := time.Now()
+	return p.adoptAt(present(), l, readAt)
+}
+
+// moment is a time on the clock of deadlines and on the one that counts suspensions.
+type moment struct {
+	time    time.Time
+	instant clock.Instant
+}
+
+func present() moment { return moment{time.Now(), clock.Now()} }
+
+// before returns the time on the clock of deadlines at an earlier instant.
+func (m moment) before(i clock.Instant) time.Time { return m.time.Add(-m.instant.Sub(i)) }
+
+// adoptAt is adopt at a given moment.
+func (p *Proxy) adoptAt(now moment, l calls.Listing, readAt clock.Instant) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.snapshot.Load()
-	r := l.Rules
-	if old != nil {
-		switch {
-		case l.Revision < old.revision || readAt < old.readAt:
-			return nil
-		case r == nil || r.Version() < old.rules.Version():
-			p.log.WithFields(logrus.Fields{"event": "older-rules", "in-force": old.rules.Version()}).Warn("listing has an older configuration; keeping the current one")
-			r = old.rules
-		}
+	r, isNewer := chooseRules(old, l, readAt)
+	if !isNewer && r == old.rules {
+		return nil
 	}
-	for _, c := range p.roster.Update(now, l.Upstreams) {
-		p.handleRosterChange(c)
+	n := &snapshot{rules: r, readAt: readAt, position: l.Position(), rulesEpoch: l.RulesEpoch}
+	if old != nil && r == old.rules {
+		n.rulesEpoch = old.rulesEpoch
+	}
+	if isNewer {
+		p.logListing(old, l, r)
+		for _, c := range p.roster.Update(now.time, roster.List{Epoch: l.Epoch, ReadAt: now.before(readAt), Upstreams: l.Upstreams}) {
+			p.handleRosterChange(c)
+		}
+		p.upstreams.Set(p.roster.Listed())
+	} else {
+		n.readAt, n.position = old.readAt, old.position
 	}
 	if r == nil {
 		return nil
 	}
 	if old == nil || old.rules.Version() != r.Version() {
 		p.log.WithFields(logrus.Fields{
-			"event": "adopted", "version": r.Version(), "revision": l.Revision, "age-ms": clock.Now().Sub(readAt).Milliseconds(),
+			"event": "adopted", "version": r.Version(), "epoch": l.Epoch, "revision": l.Revision, "age-ms": now.instant.Sub(readAt).Milliseconds(),
 		}).Info("configuration adopted")
 	}
-	p.upstreams.Set(l.Upstreams)
-	n := &snapshot{rules: r, services: map[string][]roster.Upstream{}, readAt: readAt, revision: l.Revision, hash: p.upstreams.Hash()}
-	for _, u := range p.roster.Usable() {
-		n.services[u.Service] = append(n.services[u.Service], u)
-	}
+	n.hash = p.upstreams.Hash()
+	n.services = p.usableUpstreams()
 	if err := n.encodeConfig(old); err != nil {
 		return err
 	}
@@ -87,6 +136,36 @@
 	return nil
 }
 
+// usableUpstreams returns the upstreams of each service that may get new work. p.mu must be held.
+func (p *Proxy) usableUpstreams() map[string][]roster.Upstream {
+	m := map[string][]roster.Upstream{}
+	for _, u := range p.roster.Usable() {
+		m[u.Service] = append(m[u.Service], u)
+	}
+	return m
+}
+
+// logListing logs a new epoch of the store, and, once in each epoch, a configuration that is older
+// than the one in force. p.mu must be held.
+func (p *Proxy) logListing(old *snapshot, l calls.Listing, inForce *rules.Rules) {
+	if old == nil {
+		return
+	}
+	if l.Epoch > old.position.Epoch && old.position.Epoch > 0 {
+		p.metrics.storeEpochs.Inc()
+		p.log.WithFields(logrus.Fields{
+			"event": "store-restored", "epoch": l.Epoch, "before": old.position.Epoch, "revision": l.Revision, "revision-before": old.position.Revision,
+		}).Warn("the store was restored from a copy")
+	}
+	if l.Rules == nil || l.Rules.Version() >= inForce.Version() || p.olderRulesEpoch == l.Epoch+1 {
+		return
+	}
+	p.olderRulesEpoch = l.Epoch + 1
+	p.log.WithFields(logrus.Fields{
+		"event": "older-rules", "in-force": inForce.Version(), "listed": l.Rules.Version(), "epoch": l.Epoch,
+	}).Warn("listing has an older configuration; keeping the current one")
+}
+
 // handleRosterChange logs a change of the roster and forgets upstreams that are gone. p.mu must
 // be held.
 func (p *Proxy) handleRosterChange(c roster.Change) {
