proxy, pause, admit: upstreams that say they leave or ask for a pause

An upstream that leaves says so in all its answers, maybe before its registration does; one that turns a request away with 503 may add Retry-After. Other entries and an agent's followers hear of it and prefer others, but only what an entry hears itself rules an upstream out. - Pause: coord/pause keeps the longest by instance; nothing is sent there meanwhile, polls and freed caches included. If all upstreams of a service ask for one, callers are refused at once and told to return after the first pause ends, spread. - A value that can't be understood has no effect, is counted and logged at most every 10 s.

--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/place"
 	"cranberrypoint.example/coord/stages"
 	"cranberrypoint.example/coord/tasks"
@@ -73,6 +74,11 @@
 	// Peers returns the other engines of the service whose managers take part in the decision
 	// on stages.
 	Peers func() []stages.Peer
+	// Observe is called with what each answer of the engine says of it, if not nil.
+	Observe func(calls.ResponseInfo)
+	// MayCall reports whether the engine may be called now; nil for always. The pauses that the
+	// engine asks the manager itself for are kept in any case.
+	MayCall func() bool
 	// Fence returns a fencing token that is greater than those of earlier holders. Tokens grow
 	// with each call.
 	Fence func() int64
@@ -105,6 +111,10 @@
 	// there is none or the engine has refused connections since.
 	report     calls.EngineReport
 	reportedAt time.Time
+	// leaving is true once the engine, in its present start, has said that it leaves.
+	leaving bool
+	// pauses holds the pause that the engine has asked this manager for.
+	pauses *pause.Table
 	// orderedStage is the stage of the last order that the engine accepted.
 	orderedStage wire.Stage
 	// stateChanged is closed and replaced at each change that followers are sent at once. Other
@@ -143,6 +153,7 @@
 		ledger:       place.New(),
 		stages:       stages.New(s.StartedAt, s.Name),
 		waiters:      map[string]chan place.Outcome{},
+		pauses:       pause.New(),
 		stateChanged: make(chan struct{}),
 	}
 	for _, o := range opts {
@@ -267,6 +278,7 @@
 		Backlog:     m.backlog,
 		Memory:      s.MemoryTokens,
 		Slots:       int32(s.Slots),
+		Leaving:     m.leaving,
 	}
 	return m.cachedState
 }
--- a/coord/admit/engine.go
+++ b/coord/admit/engine.go
@@ -32,6 +32,10 @@
 	if !wasHealthy {
 		m.log.WithFields(logrus.Fields{"event": "engine-sound", "stage": r.Stage.String(), "memory": r.Usage.MemoryTokens}).Info("engine is healthy")
 	}
+	if r.Usage.StartUnixMillis != m.report.Usage.StartUnixMillis && m.leaving {
+		m.leaving = false
+		m.notifyFollowers()
+	}
 	if r.Stage != m.report.Stage {
 		m.log.WithFields(logrus.Fields{"event": "stage-changed", "from": m.report.Stage.String(), "to": r.Stage.String()}).Info("engine changed its stage")
 		m.notifyFollowers()
@@ -72,6 +76,9 @@
 // callEngine sends a request with an optional JSON body to the engine and returns the HTTP
 // status and body of the response, the body cut at maxResponseBytes.
 func (m *Manager) callEngine(method, path string, h http.Header, body []byte) (status int, response []byte, err error) {
+	if !m.mayCall() {
+		return 0, nil, errPaused
+	}
 	ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
 	defer cancel()
 	if body != nil {
@@ -88,10 +95,40 @@
 		return 0, nil, err
 	}
 	defer func() { _ = r.Body.Close() }()
+	m.observe(m.settings.Codec.ResponseInfo(r.Status, r.Header))
 	b, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes))
 	return r.Status, b, err
 }
 
+// errPaused means that the engine has asked for a pause.
+var errPaused = eris.New("the engine has asked for a pause")
+
+// mayCall reports whether the engine may be called now.
+func (m *Manager) mayCall() bool {
+	if m.settings.MayCall != nil && !m.settings.MayCall() {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, isPaused := m.pauses.Until(time.Now(), m.settings.Name)
+	return !isPaused
+}
+
+// observe acts on what an answer of the engine says of it.
+func (m *Manager) observe(i calls.ResponseInfo) {
+	if m.settings.Observe != nil {
+		m.settings.Observe(i)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pauses.Ask(time.Now(), m.settings.Name, i.Pause)
+	if i.Leaving && !m.leaving {
+		m.leaving = true
+		m.log.WithField("event", "engine-leaving").Info("engine says that it leaves")
+		m.notifyFollowers()
+	}
+}
+
 // decideStage decides, from the stages of the service's other engines, whether this engine
 // should serve another stage. If so, it sends the engine an order to change.
 func (m *Manager) decideStage() {
--- a/coord/calls/calls.go
+++ b/coord/calls/calls.go
@@ -70,6 +70,14 @@
 	WrongInstance bool
 	// Load is nil if the response doesn't report it.
 	Load *Load
+	// Leaving is true if the upstream says that it is shutting down. It gets no new requests.
+	Leaving bool
+	// Pause is the time for which the upstream, which turned the request away, wants no further
+	// ones from this process; 0 if it asks for none.
+	Pause time.Duration
+	// Invalid is a header about the upstream's state that can't be understood, as "name: value",
+	// and has no effect; empty if there is none.
+	Invalid string
 }
 
 // KVHandle identifies a KV cache that an engine holds.
@@ -132,6 +140,8 @@
 
 // EngineCodec translates the messages between an engine and its manager.
 type EngineCodec interface {
+	// ResponseInfo parses the status and headers of an engine's response.
+	ResponseInfo(status int, h http.Header) ResponseInfo
 	// ReportPath returns the path of the status poll.
 	ReportPath() string
 	// Report parses the body of the response to a status poll.
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -55,6 +55,9 @@
 	MaxConns int
 	// MaxIdle bounds the idle connections that the pool keeps to the address; 0 for a default.
 	MaxIdle int
+	// CloseAfter reports whether the connection of a response with this header is closed after
+	// the response; nil leaves that to the protocol.
+	CloseAfter func(h http.Header) bool
 	// Matches reports whether a response with this status and header can belong to this
 	// request; nil accepts any.
 	Matches func(status int, h http.Header) bool
@@ -300,6 +303,9 @@
 	b.expiresAt = time.Now().Add(idleTimeout(resp.Header))
 	f := frame.Of(resp)
 	b.reuse = requestWritten && f != frame.Connection && !resp.Close && resp.ProtoAtLeast(1, 1)
+	if q.CloseAfter != nil && q.CloseAfter(resp.Header) {
+		b.reuse = false
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: body.Length, Framing: f, Body: b}, nil
 }
 
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -30,6 +30,11 @@
 	silentRoomCost = 2.0
 	// silentFullCost is the cost of an engine without room whose manager is silent.
 	silentFullCost = 3.0
+	// leavingCost is added to the cost of an engine that is said to leave, so that all others come
+	// before it.
+	leavingCost = 1000.0
+	// leavingTokens is the backlog of prefill engines that are said to leave, in tokens.
+	leavingTokens = 1 << 40
 )
 
 // engineStats holds what an entry has observed of engines and callers.
@@ -105,7 +110,8 @@
 func (p *Proxy) candidates(service string, stage wire.Stage, tried map[string]bool) (l []candidate) {
 	now := time.Now()
 	for _, u := range p.snapshot.Load().services[service] {
-		if tried[u.Instance] || p.unsubscribed[u.Address] || p.picker.Ejected(now, u.Instance) {
+		_, isPaused := p.pauses.Until(now, u.Instance)
+		if tried[u.Instance] || isPaused || p.unsubscribed[u.Address] || p.picker.Ejected(now, u.Instance) {
 			continue
 		}
 		c := candidate{upstream: u, stage: u.Stage}
@@ -130,6 +136,9 @@
 	var least float64
 	for _, c := range p.candidates(x.service.Name, wire.Stage_STAGE_DECODE, tried) {
 		cost, free := p.decodeCost(x, c)
+		if p.isSaidToLeave(time.Now(), c.upstream.Instance) || c.state != nil && c.state.Leaving {
+			cost += leavingCost
+		}
 		if !ok || cost < least {
 			best, least, hasRoom, ok = c, cost, free, true
 		}
@@ -196,6 +205,9 @@
 	mean := meanBacklog(l)
 	for _, c := range l {
 		n := p.prefillBacklog(c, mean)
+		if p.isSaidToLeave(time.Now(), c.upstream.Instance) || c.state != nil && c.state.Leaving {
+			n += leavingTokens
+		}
 		if !ok || n < backlog {
 			best, backlog, ok = c, n, true
 		}
--- a/entry/proxy/learn.go
+++ b/entry/proxy/learn.go
@@ -54,6 +54,9 @@
 	defer fault.Annotate(&err, "fetch configuration from entry %s", m.Name)
 	old := p.snapshot.Load()
 	q := p.listRequest(old)
+	p.mu.Lock()
+	q.Leaving = p.leavingNames(time.Now())
+	p.mu.Unlock()
 	sent := clock.Now()
 	ctx, cancel := context.WithTimeout(p.ctx, entryTimeout)
 	defer cancel()
@@ -85,6 +88,7 @@
 	}
 	p.metrics.entryListings.Inc()
 	p.mu.Lock()
+	p.hear(now.time, a.Leaving, false)
 	p.roster.Hide(now.time, decodeDepartures(now.time, a.Departures))
 	p.mu.Unlock()
 	if err := p.adoptAt(now, l, readAt); err != nil {
@@ -147,11 +151,13 @@
 	p.mu.Lock()
 	d := p.upstreams.DeltaSince(q.Hash)
 	hidden := p.roster.Hidden(now)
+	p.hear(now, q.Leaving, true)
+	leaving := p.relayedNames(now)
 	p.mu.Unlock()
 	if q.Version > v.rules.Version() && q.Sender != "" {
 		p.learnNewerRules(q.Sender)
 	}
-	a = &wire.ListReply{Known: true, AgeMicros: v.age().Microseconds(), Epoch: v.position.Epoch, Revision: v.position.Revision, ConfigEpoch: v.rulesEpoch, Departures: encodeDepartures(now, hidden)}
+	a = &wire.ListReply{Known: true, AgeMicros: v.age().Microseconds(), Epoch: v.position.Epoch, Revision: v.position.Revision, ConfigEpoch: v.rulesEpoch, Departures: encodeDepartures(now, hidden), Leaving: leaving}
 	if q.Version != v.rules.Version() || q.ConfigHash != 0 && q.ConfigHash != v.configHash {
 		a.Config = v.config
 	}
--- a/entry/proxy/manage.go
+++ b/entry/proxy/manage.go
@@ -5,6 +5,7 @@
 
 	"cranberrypoint.example/coord/admit"
 	"cranberrypoint.example/coord/assign"
+	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/stages"
@@ -105,6 +106,8 @@
 		Metrics:   p.metrics.admit,
 		Log:       p.log,
 		Peers:     func() []stages.Peer { return p.agentlessPeers(u) },
+		Observe:   func(i calls.ResponseInfo) { p.observeUpstream(u, i) },
+		MayCall:   func() bool { return !p.isPaused(u.Instance) },
 		Fence:     p.mesh.NextFence,
 	}, admit.WithRemoteEngine(), admit.WithOrdersFrom(a.OrdersFrom))
 	p.managed[u.Instance] = &managedEngine{m, stop}
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -13,6 +13,7 @@
 	firstEvent      prometheus.Histogram
 	sends           *prometheus.CounterVec
 	answers         *prometheus.CounterVec
+	upstreamStates  *prometheus.CounterVec
 	connections     prometheus.Counter
 	storeReads      prometheus.Counter
 	storeReadErrors prometheus.Counter
@@ -31,6 +32,7 @@
 		firstEvent:      opsrv.Latency(r, "proxy_first_event_seconds", "Time from a request to the first part of a stream."),
 		sends:           opsrv.Counters(r, "proxy_sends_total", "Sends to upstreams.", "purpose", "result"),
 		answers:         opsrv.Counters(r, "proxy_answers_total", "Answers of upstreams that were relayed, by how they were framed and how reading them ended.", "framing", "end"),
+		upstreamStates:  opsrv.Counters(r, "proxy_upstream_states_total", "What upstreams said of themselves in answers: that they leave, that they want a pause, or something that can't be understood.", "state"),
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -31,7 +32,7 @@
 	tried := map[string]bool{}
 	var last error
 	for range maxPlainUpstreams {
-		if e := p.checkStillAllowed(x); e != nil {
+		if e := cmp.Or(p.checkStillAllowed(x), p.checkPauses(x)); e != nil {
 			p.fail(x, e)
 			return
 		}
@@ -136,15 +137,25 @@
 	return !x.route.AtMostOnce() && x.attempts < max(1, x.route.MaxAttempts)
 }
 
-// pickUpstream picks an upstream that was not tried yet.
+// pickUpstream picks an upstream that was not tried yet and wants no pause. One that is said to
+// leave is picked only if there is no other.
 func (p *Proxy) pickUpstream(x *exchange, tried map[string]bool) (roster.Upstream, bool) {
-	var l []roster.Upstream
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var staying, saidToLeave []roster.Upstream
 	for _, u := range p.snapshot.Load().services[x.service.Name] {
-		if !tried[u.Instance] {
-			l = append(l, u)
+		_, isPaused := p.pauses.Until(now, u.Instance)
+		switch {
+		case tried[u.Instance] || isPaused:
+		case p.isSaidToLeave(now, u.Instance):
+			saidToLeave = append(saidToLeave, u)
+		default:
+			staying = append(staying, u)
 		}
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.picker.Pick(time.Now(), l)
+	if u, ok := p.picker.Pick(now, staying); ok {
+		return u, true
+	}
+	return p.picker.Pick(now, saidToLeave)
 }
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/opsrv"
+	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
@@ -140,6 +141,14 @@
 	assigner         *assign.Assigner
 	agentlessEngines []roster.Upstream
 	managed          map[string]*managedEngine
+	// pauses holds the upstreams that have asked for a pause.
+	pauses *pause.Table
+	// leaving holds the upstreams that have told this entry that they leave, and heardLeaving
+	// those that have told others. leaving has the time until which that is passed on.
+	leaving      map[string]time.Time
+	heardLeaving map[string]hearsay
+	// invalidHeaderLogFrom is when the next header that can't be understood is logged.
+	invalidHeaderLogFrom time.Time
 	// storeBackoff is set by store calls that failed.
 	storeBackoff backoff
 	storeLost    bool
@@ -181,6 +190,9 @@
 		engineStats:       newEngineStats(),
 		assigner:          assign.New(),
 		managed:           map[string]*managedEngine{},
+		pauses:            pause.New(),
+		leaving:           map[string]time.Time{},
+		heardLeaving:      map[string]hearsay{},
 		clientConns:       newConnTracker(listeners[0]),
 	}
 	var closeConns func()
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -37,10 +37,10 @@
 	if e := p.checkStillAllowed(x); e != nil {
 		return nil, calls.ResponseInfo{}, &upconn.Error{Err: e}
 	}
-	if !p.snapshot.Load().isUsable(u) {
-		// A decode engine may have been picked seconds ago, before the waits for a reservation
-		// and for the prefill.
-		return nil, calls.ResponseInfo{}, &upconn.Error{Err: errUpstreamLeaving}
+	// A decode engine may have been picked seconds ago, before the waits for a reservation and for
+	// the prefill.
+	if err := p.checkUpstream(u); err != nil {
+		return nil, calls.ResponseInfo{}, err
 	}
 	h := x.r.Header.Clone()
 	hops.Strip(h)
@@ -61,6 +61,7 @@
 		ForceContentLength: x.r.ContentLength >= 0 && x.r.Header.Get("Content-Length") != "" || len(x.r.TransferEncoding) > 0,
 		MaxConns:           x.service.MaxConnections,
 		MaxIdle:            p.maxIdleConns(x.service),
+		CloseAfter:         p.closesAfter,
 		Matches:            func(status int, h http.Header) bool { return p.codec.Matches(status, h, x.call.ID) },
 	})
 	if err != nil {
@@ -68,6 +69,7 @@
 		return nil, calls.ResponseInfo{}, err
 	}
 	info := p.codec.ResponseInfo(resp.Status, resp.Header)
+	p.observeUpstream(u, info)
 	if resp.Status < http.StatusMultipleChoices && !info.Signed && !params.Prefill {
 		_ = resp.Body.Close()
 		p.recordResult(x, u, picker.NoAnswer, nil, purpose)
--- a/entry/proxy/reserve.go
+++ b/entry/proxy/reserve.go
@@ -47,9 +47,9 @@
 func (p *Proxy) reserveDecode(x *exchange, tried map[string]bool) (reservation, *fault.Error) {
 	retryAfter := streamRetryAfter
 	asked := maps.Clone(tried)
-	for i := range maxReservationTries {
+	for tries := 0; tries < maxReservationTries; tries++ {
 		c, hasRoom, ok := p.pickDecode(x, asked)
-		if !ok || i > 0 && !hasRoom {
+		if !ok || tries > 0 && !hasRoom {
 			break
 		}
 		asked[c.upstream.Instance] = true
@@ -60,6 +60,9 @@
 				r.reservation.release(false)
 			}
 			return reservation{}, fault.NotRun(fault.Cancelled, "the caller left or its time is over")
+		case isUnavailable(r.err):
+			// This try doesn't count: the request had no chance there.
+			tries--
 		case r.err != nil:
 			p.log.WithField("event", "place-failed").WithField("request", x.call.ID).WithError(r.err).Warn("reservation failed")
 		case r.reply.Granted:
@@ -92,6 +95,11 @@
 			return r
 		case <-t.C:
 		}
+		if err := p.checkUpstream(c.upstream); err != nil {
+			cancel()
+			p.tasks.Go(func() { releaseUnused(<-first) })
+			return reservationResult{err: err}
+		}
 		r, ok := p.moveReservation(x, c, tried, startBy)
 		if !ok {
 			continue
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
@@ -41,7 +42,8 @@
 	x.prefillDeadline = p.prefillDeadline(x)
 	tried := map[string]bool{}
 	for range maxDecodeTries {
-		if e := p.checkStillAllowed(x); e != nil {
+		if e := cmp.Or(p.checkStillAllowed(x), p.checkPauses(x)); e != nil {
+			x.kvCache.discard()
 			p.fail(x, e)
 			return
 		}
--- /dev/null
+++ b/entry/proxy/upstate.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/pause"
+	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/upconn"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// invalidHeaderLogPeriod is the time between two log lines about headers of upstreams that
+	// can't be understood.
+	invalidHeaderLogPeriod = 10 * time.Second
+	// hearsayTime is how long it counts that another entry has heard an upstream say it leaves.
+	hearsayTime = 10 * time.Second
+)
+
+// errUpstreamPaused means that an upstream wants no requests for a time.
+var errUpstreamPaused = eris.New("the upstream has asked for a pause")
+
+// observeUpstream acts on what an upstream says of its own state in an answer of any kind.
+func (p *Proxy) observeUpstream(u roster.Upstream, info calls.ResponseInfo) {
+	if info.Invalid != "" {
+		p.logInvalidHeader(u, info.Invalid)
+	}
+	if info.Pause > 0 {
+		p.metrics.upstreamStates.WithLabelValues("pause").Inc()
+		p.mu.Lock()
+		p.pauses.Ask(time.Now(), u.Instance, info.Pause)
+		p.mu.Unlock()
+		p.log.WithFields(logrus.Fields{"event": "upstream-paused", "instance": u.Instance, "for-ms": info.Pause.Milliseconds()}).Info("upstream wants no requests for a time")
+	}
+	if info.Leaving {
+		p.announceLeaving(u)
+	}
+}
+
+// announceLeaving ends the use of an upstream that has said that it leaves: its registration may
+// say so only later.
+func (p *Proxy) announceLeaving(u roster.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	c, ok := p.roster.Announce(now, u.Instance)
+	if !ok {
+		return
+	}
+	p.metrics.upstreamStates.WithLabelValues("leaving").Inc()
+	p.handleRosterChange(c)
+	p.conns.CloseIdle(u.Address)
+	p.leaving[u.Instance] = now.Add(hearsayTime)
+	if old := p.snapshot.Load(); old != nil {
+		n := *old
+		n.services = p.usableUpstreams()
+		p.snapshot.Store(&n)
+	}
+}
+
+// leavingNames returns the upstreams that have recently told this entry that they leave. p.mu must
+// be held.
+func (p *Proxy) leavingNames(now time.Time) (l []string) {
+	for n, until := range p.leaving {
+		if !now.Before(until) {
+			delete(p.leaving, n)
+			continue
+		}
+		l = append(l, n)
+	}
+	return l
+}
+
+// hearsay is the word of another entry that an upstream leaves.
+type hearsay struct {
+	until time.Time
+	// relay is true if it came with a request and is passed on in replies. What came with a reply
+	// isn't, so that it doesn't go round for ever.
+	relay bool
+}
+
+// hear records that another entry has heard upstreams say that they leave. This entry prefers others
+// then; only what it hears itself, or from the store, rules an upstream out. p.mu must be held.
+func (p *Proxy) hear(now time.Time, names []string, relay bool) {
+	for _, n := range names {
+		h := p.heardLeaving[n]
+		if !relay && h.relay && now.Before(h.until) {
+			continue
+		}
+		p.heardLeaving[n] = hearsay{now.Add(hearsayTime), relay}
+	}
+}
+
+// relayedNames returns the upstreams that leave by this entry's own knowledge or by that of entries
+// which have asked it. p.mu must be held.
+func (p *Proxy) relayedNames(now time.Time) []string {
+	l := p.leavingNames(now)
+	for n, h := range p.heardLeaving {
+		if p.isSaidToLeave(now, n) && h.relay {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
+// isSaidToLeave reports whether another entry has recently heard that an upstream leaves. p.mu must be
+// held.
+func (p *Proxy) isSaidToLeave(now time.Time, instance string) bool {
+	h, ok := p.heardLeaving[instance]
+	if ok && !now.Before(h.until) {
+		delete(p.heardLeaving, instance)
+		return false
+	}
+	return ok
+}
+
+// closesAfter reports whether a connection is of no further use after a response with a header.
+func (p *Proxy) closesAfter(h http.Header) bool {
+	return p.codec.ResponseInfo(http.StatusOK, h).Leaving
+}
+
+// isPaused reports whether an upstream has asked for a pause.
+func (p *Proxy) isPaused(instance string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.pauses.Until(time.Now(), instance)
+	return ok
+}
+
+// checkPauses refuses a request if all upstreams of its service have asked for a pause.
+func (p *Proxy) checkPauses(x *exchange) *fault.Error {
+	var l []string
+	for _, u := range p.snapshot.Load().services[x.service.Name] {
+		l = append(l, u.Instance)
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	end, ok := p.pauses.FirstEnd(now, l)
+	if !ok || x.mayHaveRun {
+		return nil
+	}
+	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return fault.NotRun(fault.Overloaded, "all upstreams have asked for a pause").WithRetryAt(pause.ReturnAt(now, end, r))
+}
+
+// checkUpstream reports why a request may not be sent to an upstream that was picked before; nil if
+// it may.
+func (p *Proxy) checkUpstream(u roster.Upstream) error {
+	switch {
+	case !p.snapshot.Load().isUsable(u):
+		return &upconn.Error{Err: errUpstreamLeaving}
+	case p.isPaused(u.Instance):
+		return &upconn.Error{Err: errUpstreamPaused}
+	}
+	return nil
+}
+
+// isUnavailable reports whether a send or a reservation failed because its upstream leaves or wants
+// a pause, so that another one should be asked at once.
+func isUnavailable(err error) bool {
+	return errors.Is(err, errUpstreamLeaving) || errors.Is(err, errUpstreamPaused)
+}
+
+func (p *Proxy) logInvalidHeader(u roster.Upstream, header string) {
+	p.metrics.upstreamStates.WithLabelValues("invalid").Inc()
+	now := time.Now()
+	p.mu.Lock()
+	isDue := now.After(p.invalidHeaderLogFrom)
+	if isDue {
+		p.invalidHeaderLogFrom = now.Add(invalidHeaderLogPeriod)
+	}
+	p.mu.Unlock()
+	if isDue {
+		p.log.WithFields(logrus.Fields{"event": "invalid-header", "instance": u.Instance, "header": header}).Warn("header of an upstream can't be understood")
+	}
+}
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -173,6 +173,7 @@
 	case c.After == nil:
 		p.logUpstream("upstream-gone", c.Before)
 		p.picker.Forget(c.Before.Instance)
+		p.pauses.Forget(c.Before.Instance)
 		p.conns.CloseIdle(c.Before.Address)
 	case c.Before == nil:
 		p.logUpstream("upstream-new", c.After)
--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -13,6 +13,7 @@
 	"cranberrypoint.example/coord/digest"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
@@ -63,14 +64,17 @@
 	links, stop := link.NewPool(nil, link.WithPing(mesh.Ping))
 	t.Cleanup(stop)
 	p := &Proxy{
-		settings:  Settings{VM: "z", Store: failingStore{}, ConfigMaxAge: 5 * time.Second},
-		log:       log.WithFields(logrus.Fields{}),
-		metrics:   newMetrics(),
-		links:     links,
-		ctx:       ctx,
-		roster:    roster.New(),
-		upstreams: digest.New(),
-		mesh:      mesh.New(&wire.Member{Name: "z", Role: mesh.RoleEntry}, nil, links, log),
+		settings:     Settings{VM: "z", Store: failingStore{}, ConfigMaxAge: 5 * time.Second},
+		log:          log.WithFields(logrus.Fields{}),
+		metrics:      newMetrics(),
+		links:        links,
+		ctx:          ctx,
+		roster:       roster.New(),
+		upstreams:    digest.New(),
+		pauses:       pause.New(),
+		leaving:      map[string]time.Time{},
+		heardLeaving: map[string]hearsay{},
+		mesh:         mesh.New(&wire.Member{Name: "z", Role: mesh.RoleEntry}, nil, links, log),
 	}
 	for i, a := range addresses {
 		m := &wire.Member{Name: string(rune('a' + i)), Role: mesh.RoleEntry, Address: a, Incarnation: 1, Beat: 1}
