--- a/coord/calls/calls.go
+++ b/coord/calls/calls.go
@@ -28,6 +28,9 @@
 	PromptTokens  int64
 	MaxTokens     int64
 	HasTokenCount bool
+	// PromptParts identifies the parts of the prompt that other requests may share, in order. The
+	// last part of a prompt is the request's own and isn't among them.
+	PromptParts []string
 }
 
 // UpstreamParams holds what is added to a caller's request before it is sent to an upstream.
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
@@ -188,6 +189,7 @@
 	for k, v := range map[string]string{
 		"cause": r.cause, "instance": r.instance, "prefill": r.prefillInstance, "framing": string(r.framing), "end": string(r.end),
 		"protocol": x.unusualProtocol(),
+		"parts":    strings.Join(x.call.PromptParts, ","),
 	} {
 		if v != "" {
 			f[k] = v
