poison, mesh, proxy: quarantine parts of prompts that crash engines

Callers saw: streams of a workspace failed one after another, and with each one the streams that ran on the same engine; up to 43 engines ended in a minute. Cause: nothing connected the end of an engine with what it had been given. Each request with the part was new, whichever entry it came at, and went to the next engine. Class: poison messages, work that ends each worker that takes it and is handed out again without a bound. Change: an entry whose upstream closes a connection under a request, and takes no new one, holds that end against the shared parts of the prompt. Evidence goes with the gossip. After three ends without a complete answer no request with the part is sent: looked at on arrival, while it waits, and before each send of any kind (plain, prefill, decode, repeat). What merely ran beside such requests isn't held against others. No request is repeated once two upstreams have ended under one of its parts.

--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -14,6 +14,7 @@
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/opsrv"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/stages"
 	"cranberrypoint.example/coord/tasks"
 	"cranberrypoint.example/coord/trace"
@@ -82,7 +83,8 @@
 		Service:     s.Service,
 		Incarnation: now.UnixMilli(),
 	}
-	e.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(e.updateMember))
+	// The evidence against parts of prompts outlives entries that are killed together.
+	e.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(e.updateMember), mesh.WithRumors(poison.New()))
 	var stopEngine func()
 	e.engine, stopEngine = admit.Start(admit.Settings{
 		VM:        s.VM,
--- a/coord/fake/rapid.go
+++ b/coord/fake/rapid.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"strconv"
 )
 
 // Environment variables that override the seed and the number of checks of randomised
@@ -29,6 +30,15 @@
 	}
 }
 
+// Checks returns the number of checks of a randomised test without package rapid: n, or what
+// ChecksVariable says.
+func Checks(n int) int {
+	if c, err := strconv.Atoi(os.Getenv(ChecksVariable)); err == nil {
+		return c
+	}
+	return n
+}
+
 func firstNonEmpty(a, b string) string {
 	if a != "" {
 		return a
--- a/coord/fault/fault.go
+++ b/coord/fault/fault.go
@@ -53,6 +53,8 @@
 	// Cancelled means that the caller has gone or that this attempt was cancelled. An entry
 	// may make several attempts at a request, at different agents.
 	Cancelled Code = "cancelled"
+	// Quarantined means that upstreams have crashed under requests with a part of the same prompt.
+	Quarantined Code = "prompt_quarantined"
 	// NotReady means that the process can't serve requests yet or for now.
 	NotReady Code = "not_ready"
 )
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -116,6 +116,18 @@
 	return targets
 }
 
+// RandomLive returns the addresses of at most n random live members.
+func (m *Members) RandomLive(now time.Time, n int) (addresses []string) {
+	for _, k := range m.known {
+		if m.isLive(now, k) {
+			addresses = append(addresses, k.record.Address)
+		}
+	}
+	slices.Sort(addresses)
+	m.rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(n, len(addresses))]
+}
+
 func (m *Members) forget(name string) {
 	delete(m.known, name)
 	if i, ok := slices.BinarySearch(m.names, name); ok {
--- a/coord/mesh/mesh.go
+++ b/coord/mesh/mesh.go
@@ -47,8 +47,34 @@
 	lastLive        map[string]bool
 	beforeHeartbeat func(self *wire.Member)
 	afterHeartbeat  func()
+	// rumors are exchanged with each gossip.
+	rumors Rumors
+	// lastSpread is when urgent rumors were last passed on at once.
+	lastSpread time.Time
 }
 
+// Rumors is what members learn from each other besides the members. It is called without the lock of the
+// mesh.
+type Rumors interface {
+	// Report returns what others should know.
+	Report(now time.Time) []*wire.Suspect
+	// Merge adds what another member knows. It reports whether others should hear of it at once.
+	Merge(now time.Time, l []*wire.Suspect) (urgent bool)
+}
+
+// noRumors is used by members that exchange none.
+type noRumors struct{}
+
+func (noRumors) Report(time.Time) []*wire.Suspect      { return nil }
+func (noRumors) Merge(time.Time, []*wire.Suspect) bool { return false }
+
+const (
+	// spreadTargets is the number of members that hear urgent rumors at once.
+	spreadTargets = 2
+	// minSpreadInterval bounds how often rumors are passed on at once. Others go with the next heartbeat.
+	minSpreadInterval = 100 * time.Millisecond
+)
+
 // Option configures a Mesh.
 type Option func(*Mesh)
 
@@ -62,6 +88,9 @@
 // not have ended by then.
 func WithAfterHeartbeat(f func()) Option { return func(m *Mesh) { m.afterHeartbeat = f } }
 
+// WithRumors exchanges rumors with each gossip.
+func WithRumors(r Rumors) Option { return func(m *Mesh) { m.rumors = r } }
+
 // New returns the mesh of the process that the record self describes. Seeds are the addresses
 // of members to contact first. Gossip begins when Start is called.
 func New(self *wire.Member, seeds []string, p *link.Pool, l logrus.FieldLogger, opts ...Option) *Mesh {
@@ -73,6 +102,7 @@
 		lastLive:        map[string]bool{},
 		beforeHeartbeat: func(*wire.Member) {},
 		afterHeartbeat:  func() {},
+		rumors:          noRumors{},
 	}
 	for _, o := range opts {
 		o(m)
@@ -112,13 +142,41 @@
 	targets := m.members.Heartbeat(time.Now())
 	q := m.members.Request()
 	m.mu.Unlock()
-	for _, a := range targets {
-		m.tasks.Go(func() { m.gossipWith(a, q) })
-	}
+	m.gossipWithAll(targets, q)
 	m.logChanges()
 	m.afterHeartbeat()
 }
 
+// gossipWithAll starts gossip with the members at some addresses.
+func (m *Mesh) gossipWithAll(addresses []string, q *wire.GossipRequest) {
+	q.Suspects = m.rumors.Report(time.Now())
+	for _, a := range addresses {
+		m.tasks.Go(func() { m.gossipWith(a, q) })
+	}
+}
+
+// Spread passes rumors on at once, to a few members. Those to whom they are news do the same.
+func (m *Mesh) Spread() {
+	now := time.Now()
+	m.mu.Lock()
+	if m.ctx == nil || now.Sub(m.lastSpread) < minSpreadInterval {
+		m.mu.Unlock()
+		return
+	}
+	m.lastSpread = now
+	targets := m.members.RandomLive(now, spreadTargets)
+	q := m.members.Request()
+	m.mu.Unlock()
+	m.gossipWithAll(targets, q)
+}
+
+// mergeRumors adds what another member knows and passes it on if it is urgent.
+func (m *Mesh) mergeRumors(l []*wire.Suspect) {
+	if len(l) > 0 && m.rumors.Merge(time.Now(), l) {
+		m.Spread()
+	}
+}
+
 func (m *Mesh) gossipWith(address string, q *wire.GossipRequest) {
 	r, err := link.Call(m.ctx, m.pool, address, link.Gossip, q)
 	if err != nil {
@@ -127,8 +185,9 @@
 		return
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.members.HandleReply(time.Now(), r)
+	m.mu.Unlock()
+	m.mergeRumors(r.Suspects)
 }
 
 // logChanges logs the members that became live or were lost since the last heartbeat.
@@ -158,8 +217,11 @@
 		return &wire.GossipReply{}, nil
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.members.HandleRequest(time.Now(), q), nil
+	a := m.members.HandleRequest(time.Now(), q)
+	m.mu.Unlock()
+	m.mergeRumors(q.Suspects)
+	a.Suspects = m.rumors.Report(time.Now())
+	return a, nil
 }
 
 // Live returns the live members of a role, sorted by name, without the process itself.
--- /dev/null
+++ b/coord/poison/fleet_test.go
@@ -0,0 +1,207 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cranberrypoint.example/coord/fake"
+)
+
+// fleet replays a load on entries that exchange evidence with each other, and on upstreams that crash.
+type fleet struct {
+	t       *testing.T
+	rand    *rand.Rand
+	now     time.Time
+	entries []*Table
+	// startsAt holds when an upstream is back, starts how often it has started.
+	startsAt []time.Time
+	starts   []int
+	running  []run
+	crashes  []time.Time
+	// poisonSent holds when requests with the part that crashes upstreams were sent.
+	poisonSent []time.Time
+	// refused and sent count the sound requests after the last relevant crash and a margin.
+	refused, sent int
+}
+
+// run is a request that an upstream answers.
+type run struct {
+	entry, upstream int
+	parts           []string
+	isPoison        bool
+	endsAt          time.Time
+}
+
+const (
+	fleetTick        = 10 * time.Millisecond
+	fleetGossip      = 400 * time.Millisecond
+	fleetRestart     = 3 * time.Second
+	fleetRunTime     = time.Second
+	fleetPoisonTime  = 100 * time.Millisecond
+	fleetContactTime = 3 * time.Second
+)
+
+func newFleet(t *testing.T, seed uint64, entries, upstreams int) *fleet {
+	f := &fleet{t: t, rand: rand.New(rand.NewPCG(seed, seed)), now: start, startsAt: make([]time.Time, upstreams), starts: make([]int, upstreams)}
+	for range entries {
+		f.entries = append(f.entries, New())
+	}
+	return f
+}
+
+// send sends a request from a random entry to a random upstream that is up. It reports whether the
+// entry refused it.
+func (f *fleet) send(parts []string, isPoison bool) (refused bool) {
+	e := f.rand.IntN(len(f.entries))
+	if _, ok := f.entries[e].Check(f.now, parts); ok {
+		return true
+	}
+	var up []int
+	for u, s := range f.startsAt {
+		if !f.now.Before(s) {
+			up = append(up, u)
+		}
+	}
+	if len(up) == 0 {
+		return false
+	}
+	r := run{entry: e, upstream: up[f.rand.IntN(len(up))], parts: parts, isPoison: isPoison, endsAt: f.now.Add(fleetRunTime)}
+	if isPoison {
+		r.endsAt = f.now.Add(fleetPoisonTime)
+		f.poisonSent = append(f.poisonSent, f.now)
+	}
+	f.running = append(f.running, r)
+	return false
+}
+
+// crash ends an upstream under all its requests.
+func (f *fleet) crash(upstream int) {
+	name := fmt.Sprintf("u%d/%d", upstream, f.starts[upstream])
+	f.starts[upstream]++
+	f.startsAt[upstream] = f.now.Add(fleetRestart)
+	f.crashes = append(f.crashes, f.now)
+	left := f.running[:0]
+	for _, r := range f.running {
+		if r.upstream != upstream {
+			left = append(left, r)
+			continue
+		}
+		if f.entries[r.entry].Ended(f.now, name, r.parts) {
+			f.gossip(r.entry)
+		}
+	}
+	f.running = left
+}
+
+// finish ends the requests whose time has come.
+func (f *fleet) finish() {
+	crashed := map[int]bool{}
+	left := f.running[:0]
+	for _, r := range f.running {
+		if r.isPoison && !f.now.Before(r.endsAt) {
+			crashed[r.upstream] = true
+		}
+		if !r.isPoison && !f.now.Before(r.endsAt) {
+			f.entries[r.entry].Answered(f.now, r.parts)
+			continue
+		}
+		left = append(left, r)
+	}
+	f.running = left
+	for u := range f.startsAt {
+		if crashed[u] {
+			f.crash(u)
+		}
+	}
+}
+
+// gossip exchanges what an entry and a random other one know.
+func (f *fleet) gossip(entry int) {
+	a, b := f.entries[entry], f.entries[f.rand.IntN(len(f.entries))]
+	b.Merge(f.now, a.Report(f.now))
+	a.Merge(f.now, b.Report(f.now))
+}
+
+// play runs the fleet for a time. It sends requests at the given rates, in requests a second.
+func (f *fleet) play(d time.Duration, soundRate, poisonRate float64) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(fleetTick) {
+		if f.rand.Float64() < poisonRate*fleetTick.Seconds() {
+			f.send([]string{"first", "bad", fmt.Sprintf("poison%d", f.rand.IntN(1000))}, true)
+		}
+		if f.rand.Float64() < soundRate*fleetTick.Seconds() {
+			refused := f.send([]string{"first", fmt.Sprintf("session%d", f.rand.IntN(30))}, false)
+			if len(f.crashes) > 0 && f.now.Sub(f.crashes[min(len(f.crashes), 5)-1]) > 2*fleetContactTime {
+				f.sent++
+				if refused {
+					f.refused++
+				}
+			}
+		}
+		for e := range f.entries {
+			if f.rand.Float64() < float64(fleetTick)/float64(fleetGossip) {
+				f.gossip(e)
+			}
+		}
+		f.finish()
+	}
+}
+
+// check checks what the fleet sent after the fifth crash.
+func (f *fleet) check(name string) {
+	f.t.Helper()
+	if len(f.crashes) < quarantineEnds {
+		return
+	}
+	last := f.crashes[min(len(f.crashes), 5)-1].Add(fleetContactTime)
+	late := 0
+	for _, s := range f.poisonSent {
+		if s.After(last) {
+			late++
+		}
+	}
+	if late > 3 {
+		f.t.Errorf("%s: %d poison messages were sent after the fifth crash and %s, %d upstreams crashed; want at most 3", name, late, fleetContactTime, len(f.crashes))
+	}
+	if f.refused*10 > f.sent {
+		f.t.Errorf("%s: %d of %d sound requests were refused, want at most a tenth", name, f.refused, f.sent)
+	}
+}
+
+// TestPoisonMessagesStop replays poison messages at fleets of several sizes: with sound requests that share
+// their first part and others that return with a session's part, and with few or no sound requests before.
+func TestPoisonMessagesStop(t *testing.T) {
+	for _, size := range []struct{ entries, upstreams int }{{3, 4}, {5, 8}, {24, 17}, {60, 30}} {
+		for seed := range uint64(fake.Checks(6)) {
+			for _, calm := range []time.Duration{0, 10 * time.Second} {
+				f := newFleet(t, seed, size.entries, size.upstreams)
+				f.play(calm, 20, 0)
+				f.play(30*time.Second, 20, 0.3+3*f.rand.Float64())
+				f.check(fmt.Sprintf("%d entries, %d upstreams, seed %d, %s calm", size.entries, size.upstreams, seed, calm))
+			}
+		}
+	}
+}
+
+// TestCrashesWithoutPoisonQuarantineNothing replays upstreams that crash for reasons of their own, several at
+// once and in series, under requests of sessions that return.
+func TestCrashesWithoutPoisonQuarantineNothing(t *testing.T) {
+	refused, sent := 0, 0
+	for seed := range uint64(fake.Checks(20)) {
+		f := newFleet(t, seed, 5, 8)
+		f.play(2*time.Second, 30, 0)
+		for range 6 {
+			for u := range f.startsAt {
+				if f.rand.Float64() < 0.6 && !f.now.Before(f.startsAt[u]) {
+					f.crash(u)
+				}
+			}
+			f.play(4*time.Second, 30, 0)
+		}
+		refused, sent = refused+f.refused, sent+f.sent
+	}
+	if refused*200 > sent {
+		t.Errorf("%d of %d requests were refused, want at most one in 200", refused, sent)
+	}
+}
--- /dev/null
+++ b/coord/poison/poison_test.go
@@ -0,0 +1,148 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cranberrypoint.example/coord/wire"
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at returns a time some seconds after the start.
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// step is one event: the end of an upstream under parts, or their answer if upstream is empty.
+type step struct {
+	seconds  float64
+	upstream string
+	parts    []string
+}
+
+func tableAfter(steps ...step) *Table {
+	t := New()
+	for _, s := range steps {
+		if s.upstream == "" {
+			t.Answered(at(s.seconds), s.parts)
+			continue
+		}
+		t.Ended(at(s.seconds), s.upstream, s.parts)
+	}
+	return t
+}
+
+// TestQuarantine checks which requests are quarantined, and which may be repeated, after some events.
+func TestQuarantine(t *testing.T) {
+	type verdict struct{ Quarantined, MayRepeat bool }
+	bad := []string{"bad"}
+	three := []step{{1, "u1", bad}, {2, "u2", bad}, {3, "u3", bad}}
+	for _, c := range []struct {
+		name    string
+		steps   []step
+		seconds float64
+		parts   []string
+		want    verdict
+	}{
+		{"nothing known", nil, 4, bad, verdict{false, true}},
+		{"one end", three[:1], 4, bad, verdict{false, true}},
+		{"two ends", three[:2], 4, bad, verdict{false, false}},
+		{"three ends", three, 4, bad, verdict{true, false}},
+		{"another request", three, 4, []string{"good"}, verdict{false, true}},
+		{"a part among others", three, 4, []string{"good", "bad", "x"}, verdict{true, false}},
+		{"three ends of one upstream", []step{{1, "u1", bad}, {2, "u1", bad}, {3, "u1", bad}}, 4, bad, verdict{false, true}},
+		{"three ends at once", []step{{1, "u1", bad}, {1.05, "u2", bad}, {1.1, "u3", bad}}, 4, bad, verdict{false, true}},
+		{"answered before", append([]step{{0, "", bad}}, three...), 4, bad, verdict{false, true}},
+		{"answered before, five ends", append([]step{{0, "", bad}, {4, "u4", bad}, {5, "u5", bad}}, three...), 6, bad, verdict{true, false}},
+		{"answered between five ends", append([]step{{4, "u4", bad}, {5, "u5", bad}, {4.5, "", bad}}, three...), 6, bad, verdict{false, true}},
+		{"answered since", append(three[:3:3], step{4, "", bad}), 5, bad, verdict{false, true}},
+		{"answered long before", append([]step{{-120, "", bad}}, three...), 4, bad, verdict{true, false}},
+		{"quarantine over", three, 3 + quarantineTime.Seconds(), bad, verdict{false, false}},
+		{"one more end after it", append(three[:3:3], step{700, "u4", bad}), 701, bad, verdict{true, false}},
+		{"evidence too old", three, 3 + evidenceTime.Seconds(), bad, verdict{false, true}},
+		{
+			// Requests ran beside poison messages and share their crashes.
+			"explained by another part", []step{
+				{1, "u1", bad}, {1, "u1", []string{"shared"}}, {2, "u2", bad}, {2, "u2", []string{"shared"}},
+				{3, "u3", bad}, {3, "u3", []string{"shared"}}, {4, "u4", bad},
+			}, 5, []string{"shared"}, verdict{false, true},
+		},
+		{
+			"the part that explains others", []step{
+				{1, "u1", []string{"bad", "shared"}}, {2, "u2", []string{"bad", "shared"}}, {3, "u3", []string{"bad", "shared"}}, {4, "u4", bad},
+			}, 5, bad, verdict{true, false},
+		},
+		{
+			"both in one request", []step{
+				{1, "u1", []string{"bad", "shared"}}, {2, "u2", []string{"bad", "shared"}}, {3, "u3", []string{"bad", "shared"}},
+			}, 5, []string{"shared", "bad"}, verdict{true, false},
+		},
+	} {
+		x := tableAfter(c.steps...)
+		_, ok := x.Check(at(c.seconds), c.parts)
+		if d := cmp.Diff(c.want, verdict{ok, x.MayRepeat(at(c.seconds), c.parts)}); d != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, d)
+		}
+	}
+}
+
+// TestEvidenceOfSeveralProcessesAddsUp checks that each of three processes that saw one end quarantines the
+// part after an exchange, and that an answer at one of them ends that at all.
+func TestEvidenceOfSeveralProcessesAddsUp(t *testing.T) {
+	var l []*Table
+	for i := range 3 {
+		l = append(l, tableAfter(step{float64(i), fmt.Sprintf("u%d", i), []string{"bad"}}))
+	}
+	exchange := func(now time.Time) {
+		for range 2 {
+			for _, a := range l {
+				for _, b := range l {
+					a.Merge(now, b.Report(now))
+				}
+			}
+		}
+	}
+	check := func(now time.Time, want bool) {
+		t.Helper()
+		for i, x := range l {
+			if _, ok := x.Check(now, []string{"bad"}); ok != want {
+				t.Errorf("table %d: quarantined is %t, want %t", i, ok, want)
+			}
+		}
+	}
+	exchange(at(5))
+	check(at(5), true)
+	l[1].Answered(at(20), []string{"bad"})
+	exchange(at(21))
+	check(at(21), false)
+}
+
+// TestMessagesAndMemoryStayBounded lets thousands of upstreams end under requests with many parts.
+func TestMessagesAndMemoryStayBounded(t *testing.T) {
+	x := New()
+	for i := range 2000 {
+		now := at(float64(i) / 10)
+		x.Ended(now, fmt.Sprintf("u%d", i), []string{"bad", fmt.Sprintf("p%d", i), fmt.Sprintf("q%d", i)})
+		x.Answered(now, []string{fmt.Sprintf("sound%d", i)})
+	}
+	now := at(200)
+	if n := len(x.Report(now)); n > maxReported {
+		t.Errorf("%d parts in a message, want at most %d", n, maxReported)
+	}
+	if n := len(x.cases); n > maxCases {
+		t.Errorf("evidence against %d parts, want at most %d", n, maxCases)
+	}
+	if _, ok := x.Check(now, []string{"bad"}); !ok {
+		t.Error("the part under which all upstreams ended was dropped")
+	}
+}
+
+// TestMalformedEvidence checks that evidence from other processes that makes no sense does no harm.
+func TestMalformedEvidence(t *testing.T) {
+	x := New()
+	x.Merge(at(0), []*wire.Suspect{{}, {Part: "a", Sound: true}, {Part: "b", Ends: []*wire.UpstreamEnd{{AgeMicros: -1 << 62}, {Upstream: "u", AgeMicros: 1 << 62}}}})
+	if q, ok := x.Check(at(1), []string{"a", "b", ""}); ok {
+		t.Errorf("quarantined: %v", q)
+	}
+}
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -190,6 +190,11 @@
 	if c := p.takeIdle(address); c != nil {
 		return c, nil
 	}
+	return p.dial(ctx, address, maxConns)
+}
+
+// dial opens a new connection.
+func (p *Pool) dial(ctx context.Context, address string, maxConns int) (*conn, error) {
 	if !p.reserveConn(address, maxConns) {
 		return nil, ErrMaxConns
 	}
@@ -228,6 +233,23 @@
 	}
 }
 
+// HasEnded reports whether the process at an address has ended: it is to be called after it has closed a
+// connection, and then takes no new one. A connection that it takes is kept as an idle one.
+func (p *Pool) HasEnded(ctx context.Context, address string, maxConns, maxIdle int) bool {
+	c, err := p.dial(ctx, address, maxConns)
+	switch {
+	case errors.Is(err, ErrMaxConns):
+		return false
+	case err != nil:
+		return ctx.Err() == nil
+	}
+	c.expiresAt = time.Now().Add(defaultIdleTimeout)
+	if !p.putIdle(address, c, maxIdle) {
+		_ = c.Close()
+	}
+	return false
+}
+
 // Do sends a request to an address and returns the head of its response. Its errors are of
 // type *Error. When the context ends, the connection is closed, also while the body is read.
 func (p *Pool) Do(ctx context.Context, address string, q *Request) (r *Response, err error) {
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -15,6 +15,8 @@
 	answers         *prometheus.CounterVec
 	upstreamStates  *prometheus.CounterVec
 	connections     prometheus.Counter
+	upstreamsEnded  prometheus.Counter
+	quarantined     prometheus.Counter
 	storeReads      prometheus.Counter
 	storeReadErrors prometheus.Counter
 	storeEpochs     prometheus.Counter
@@ -34,6 +36,8 @@
 		answers:         opsrv.Counters(r, "proxy_answers_total", "Answers of upstreams that were relayed, by how they were framed and how reading them ended.", "framing", "end"),
 		upstreamStates:  opsrv.Counters(r, "proxy_upstream_states_total", "What upstreams said of themselves in answers: that they leave, that they want a pause, or something that can't be understood.", "state"),
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
+		upstreamsEnded:  opsrv.Counter(r, "proxy_upstreams_ended_total", "Requests under which their upstream ended."),
+		quarantined:     opsrv.Counter(r, "proxy_quarantined_total", "Checks that stopped a request with a quarantined part in its prompt."),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
 		storeEpochs:     opsrv.Counter(r, "store_epochs_total", "New epochs of the store: it was restored from a copy."),
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -32,7 +32,7 @@
 	tried := map[string]bool{}
 	var last error
 	for range maxPlainUpstreams {
-		if e := cmp.Or(p.checkStillAllowed(x), p.checkPauses(x)); e != nil {
+		if e := cmp.Or(p.checkStillAllowed(x), p.checkQuarantine(x), p.checkPauses(x)); e != nil {
 			p.fail(x, e)
 			return
 		}
@@ -134,7 +134,7 @@
 
 // mayRetry reports whether a request that may have run can be sent again.
 func (p *Proxy) mayRetry(x *exchange) bool {
-	return !x.route.AtMostOnce() && x.attempts < max(1, x.route.MaxAttempts)
+	return !x.route.AtMostOnce() && x.attempts < max(1, x.route.MaxAttempts) && p.poison.MayRepeat(time.Now(), x.call.PromptParts)
 }
 
 // pickUpstream picks an upstream that was not tried yet and wants no pause. One that is said to
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/picker"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/tasks"
@@ -152,6 +153,8 @@
 	// storeBackoff is set by store calls that failed.
 	storeBackoff backoff
 	storeLost    bool
+	// poison has a lock of its own: it is used without p.mu.
+	poison *poison.Table
 }
 
 // Start runs an entry. The returned function stops it at once; see Drain for a graceful shutdown.
@@ -194,6 +197,7 @@
 		leaving:           map[string]time.Time{},
 		heardLeaving:      map[string]hearsay{},
 		clientConns:       newConnTracker(listeners[0]),
+		poison:            poison.New(),
 	}
 	var closeConns func()
 	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc)
@@ -205,7 +209,8 @@
 		Address:     s.PeerAddress,
 		Incarnation: now.UnixMilli(),
 	}
-	p.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(p.updateSelf), mesh.WithAfterHeartbeat(p.afterHeartbeat))
+	p.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(p.updateSelf),
+		mesh.WithAfterHeartbeat(p.afterHeartbeat), mesh.WithRumors(p.poison))
 	stopMesh := p.mesh.Start()
 	var stopOps []func()
 	for _, l := range listeners[2:] {
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -34,7 +35,7 @@
 // current configuration still lets the request run there. It records the result of a send that
 // failed; the caller records the result of an answer.
 func (p *Proxy) send(ctx context.Context, x *exchange, u roster.Upstream, params calls.UpstreamParams, purpose string) (*upconn.Response, calls.ResponseInfo, error) {
-	if e := p.checkStillAllowed(x); e != nil {
+	if e := cmp.Or(p.checkStillAllowed(x), p.checkQuarantine(x)); e != nil {
 		return nil, calls.ResponseInfo{}, &upconn.Error{Err: e}
 	}
 	// A decode engine may have been picked seconds ago, before the waits for a reservation and for
@@ -66,6 +67,9 @@
 	})
 	if err != nil {
 		p.recordResult(x, u, sendErrorResult(x, err), nil, purpose)
+		if maybeSent(err) && isBrokenOff(err) {
+			p.checkEnded(x, u)
+		}
 		return nil, calls.ResponseInfo{}, err
 	}
 	info := p.codec.ResponseInfo(resp.Status, resp.Header)
@@ -182,10 +186,12 @@
 	p.metrics.answers.WithLabelValues(string(x.record.framing), string(x.record.end)).Inc()
 	if err == nil {
 		x.record.outcome = outcomeAnswered
+		p.learnFromAnswer(x, u)
 		p.recordResult(x, u, statusResult(resp.Status), info.Load, purpose)
 		return
 	}
 	p.recordResult(x, u, interruptedResult(x), info.Load, purpose)
+	p.learnFromAnswer(x, u)
 	x.record.cause = err.Error()
 	if x.r.Context().Err() != nil {
 		x.record.outcome = outcomeCallerLeft
--- a/entry/proxy/reserve.go
+++ b/entry/proxy/reserve.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"time"
 
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/place"
+	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/wire"
 )
 
@@ -47,6 +49,7 @@
 func (p *Proxy) reserveDecode(x *exchange, tried map[string]bool) (reservation, *fault.Error) {
 	retryAfter := streamRetryAfter
 	asked := maps.Clone(tried)
+	var quarantined *fault.Error
 	for tries := 0; tries < maxReservationTries; tries++ {
 		c, hasRoom, ok := p.pickDecode(x, asked)
 		if !ok || tries > 0 && !hasRoom {
@@ -60,6 +63,8 @@
 				r.reservation.release(false)
 			}
 			return reservation{}, fault.NotRun(fault.Cancelled, "the caller left or its time is over")
+		case errors.As(r.err, &quarantined):
+			return reservation{}, quarantined
 		case isUnavailable(r.err):
 			// This try doesn't count: the request had no chance there.
 			tries--
@@ -95,7 +100,7 @@
 			return r
 		case <-t.C:
 		}
-		if err := p.checkUpstream(c.upstream); err != nil {
+		if err := p.checkWaiting(x, c.upstream); err != nil {
 			cancel()
 			p.tasks.Go(func() { releaseUnused(<-first) })
 			return reservationResult{err: err}
@@ -110,6 +115,14 @@
 	}
 }
 
+// checkWaiting reports why a request should no longer wait for a place at an upstream; nil if it should.
+func (p *Proxy) checkWaiting(x *exchange, u roster.Upstream) error {
+	if e := p.checkQuarantine(x); e != nil {
+		return e
+	}
+	return p.checkUpstream(u)
+}
+
 // moveReservation asks another engine that has room now, if there is one, to grant a reservation
 // at once. c is the engine at which the request waits.
 func (p *Proxy) moveReservation(x *exchange, c candidate, tried map[string]bool, startBy time.Time) (r reservationResult, ok bool) {
