--- a/coord/calls/calls.go
+++ b/coord/calls/calls.go
@@ -78,6 +78,9 @@
 	// Pause is the time for which the upstream, which turned the request away, wants no further
 	// ones from this process; 0 if it asks for none.
 	Pause time.Duration
+	// Limit is the number of requests a second that the upstream takes from all its clients together;
+	// 0 if it names none.
+	Limit float64
 	// Invalid is a header about the upstream's state that can't be understood, as "name: value",
 	// and has no effect; empty if there is none.
 	Invalid string
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -34,7 +34,7 @@
 		firstEvent:      opsrv.Latency(r, "proxy_first_event_seconds", "Time from a request to the first part of a stream."),
 		sends:           opsrv.Counters(r, "proxy_sends_total", "Sends to upstreams.", "purpose", "result"),
 		answers:         opsrv.Counters(r, "proxy_answers_total", "Answers of upstreams that were relayed, by how they were framed and how reading them ended.", "framing", "end"),
-		upstreamStates:  opsrv.Counters(r, "proxy_upstream_states_total", "What upstreams said of themselves in answers: that they leave, that they want a pause, or something that can't be understood.", "state"),
+		upstreamStates:  opsrv.Counters(r, "proxy_upstream_states_total", "What upstreams said of themselves in answers: that they leave, want a pause or name a limit, or something that can't be understood.", "state"),
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		upstreamsEnded:  opsrv.Counter(r, "proxy_upstreams_ended_total", "Requests under which their upstream ended."),
 		quarantined:     opsrv.Counter(r, "proxy_quarantined_total", "Checks that stopped a request with a quarantined part in its prompt."),
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -153,6 +153,8 @@
 	// storeBackoff is set by store calls that failed.
 	storeBackoff backoff
 	storeLost    bool
+	// loggedLimits holds the limits, in requests a second, that upstreams were last seen to name.
+	loggedLimits map[string]float64
 	// poison has a lock of its own: it is used without p.mu.
 	poison *poison.Table
 }
@@ -196,6 +198,7 @@
 		pauses:            pause.New(),
 		leaving:           map[string]time.Time{},
 		heardLeaving:      map[string]hearsay{},
+		loggedLimits:      map[string]float64{},
 		clientConns:       newConnTracker(listeners[0]),
 		poison:            poison.New(),
 	}
--- a/entry/proxy/upstate.go
+++ b/entry/proxy/upstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -19,6 +20,8 @@
 	// invalidHeaderLogPeriod is the time between two log lines about headers of upstreams that
 	// can't be understood.
 	invalidHeaderLogPeriod = 10 * time.Second
+	// limitLogShare is the part by which a limit must change to be logged again.
+	limitLogShare = 0.25
 	// hearsayTime is how long it counts that another entry has heard an upstream say it leaves.
 	hearsayTime = 10 * time.Second
 )
@@ -38,11 +41,30 @@
 		p.mu.Unlock()
 		p.log.WithFields(logrus.Fields{"event": "upstream-paused", "instance": u.Instance, "for-ms": info.Pause.Milliseconds()}).Info("upstream wants no requests for a time")
 	}
+	p.logLimit(u, info.Limit)
 	if info.Leaving {
 		p.announceLeaving(u)
 	}
 }
 
+// logLimit counts the answers that name a limit, and logs when an upstream names another one than before,
+// or none.
+func (p *Proxy) logLimit(u roster.Upstream, limit float64) {
+	if limit > 0 {
+		p.metrics.upstreamStates.WithLabelValues("limit").Inc()
+	}
+	p.mu.Lock()
+	before := p.loggedLimits[u.Instance]
+	isNews := (limit > 0) != (before > 0) || math.Abs(limit-before) > limitLogShare*before
+	if isNews {
+		p.loggedLimits[u.Instance] = limit
+	}
+	p.mu.Unlock()
+	if isNews {
+		p.log.WithFields(logrus.Fields{"event": "upstream-limited", "instance": u.Instance, "per-second": limit, "before": before}).Info("upstream names a limit for all entries together")
+	}
+}
+
 // announceLeaving ends the use of an upstream that has said that it leaves: its registration may
 // say so only later.
 func (p *Proxy) announceLeaving(u roster.Upstream) {
