rumor, mesh: one message for what members learn from each other

Members exchange the evidence against parts of prompts with their gossip. A second kind of news needs no fields of its own in each request and reply: the tables that members exchange are put together in one message. No change of behaviour.

--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -14,7 +14,7 @@
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/opsrv"
-	"cranberrypoint.example/coord/poison"
+	"cranberrypoint.example/coord/rumor"
 	"cranberrypoint.example/coord/stages"
 	"cranberrypoint.example/coord/tasks"
 	"cranberrypoint.example/coord/trace"
@@ -83,8 +83,8 @@
 		Service:     s.Service,
 		Incarnation: now.UnixMilli(),
 	}
-	// The evidence against parts of prompts outlives entries that are killed together.
-	e.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(e.updateMember), mesh.WithRumors(poison.New()))
+	// What entries have learned of upstreams outlives entries that are killed together.
+	e.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(e.updateMember), mesh.WithRumors(rumor.New()))
 	var stopEngine func()
 	e.engine, stopEngine = admit.Start(admit.Settings{
 		VM:        s.VM,
--- a/coord/mesh/mesh.go
+++ b/coord/mesh/mesh.go
@@ -57,16 +57,16 @@
 // mesh.
 type Rumors interface {
 	// Report returns what others should know.
-	Report(now time.Time) []*wire.Suspect
+	Report(now time.Time) *wire.Rumors
 	// Merge adds what another member knows. It reports whether others should hear of it at once.
-	Merge(now time.Time, l []*wire.Suspect) (urgent bool)
+	Merge(now time.Time, r *wire.Rumors) (urgent bool)
 }
 
 // noRumors is used by members that exchange none.
 type noRumors struct{}
 
-func (noRumors) Report(time.Time) []*wire.Suspect      { return nil }
-func (noRumors) Merge(time.Time, []*wire.Suspect) bool { return false }
+func (noRumors) Report(time.Time) *wire.Rumors      { return nil }
+func (noRumors) Merge(time.Time, *wire.Rumors) bool { return false }
 
 const (
 	// spreadTargets is the number of members that hear urgent rumors at once.
@@ -149,7 +149,7 @@
 
 // gossipWithAll starts gossip with the members at some addresses.
 func (m *Mesh) gossipWithAll(addresses []string, q *wire.GossipRequest) {
-	q.Suspects = m.rumors.Report(time.Now())
+	q.Rumors = m.rumors.Report(time.Now())
 	for _, a := range addresses {
 		m.tasks.Go(func() { m.gossipWith(a, q) })
 	}
@@ -171,8 +171,8 @@
 }
 
 // mergeRumors adds what another member knows and passes it on if it is urgent.
-func (m *Mesh) mergeRumors(l []*wire.Suspect) {
-	if len(l) > 0 && m.rumors.Merge(time.Now(), l) {
+func (m *Mesh) mergeRumors(r *wire.Rumors) {
+	if r != nil && m.rumors.Merge(time.Now(), r) {
 		m.Spread()
 	}
 }
@@ -187,7 +187,7 @@
 	m.mu.Lock()
 	m.members.HandleReply(time.Now(), r)
 	m.mu.Unlock()
-	m.mergeRumors(r.Suspects)
+	m.mergeRumors(r.Rumors)
 }
 
 // logChanges logs the members that became live or were lost since the last heartbeat.
@@ -219,8 +219,8 @@
 	m.mu.Lock()
 	a := m.members.HandleRequest(time.Now(), q)
 	m.mu.Unlock()
-	m.mergeRumors(q.Suspects)
-	a.Suspects = m.rumors.Report(time.Now())
+	m.mergeRumors(q.Rumors)
+	a.Rumors = m.rumors.Report(time.Now())
 	return a, nil
 }
 
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -29,6 +29,7 @@
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
+	"cranberrypoint.example/coord/rumor"
 	"cranberrypoint.example/coord/tasks"
 	"cranberrypoint.example/coord/trace"
 	"cranberrypoint.example/coord/upconn"
@@ -213,7 +214,7 @@
 		Incarnation: now.UnixMilli(),
 	}
 	p.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(p.updateSelf),
-		mesh.WithAfterHeartbeat(p.afterHeartbeat), mesh.WithRumors(p.poison))
+		mesh.WithAfterHeartbeat(p.afterHeartbeat), mesh.WithRumors(rumor.Rumors{Poison: p.poison}))
 	stopMesh := p.mesh.Start()
 	var stopOps []func()
 	for _, l := range listeners[2:] {
