pacer, proxy, admit: keep to the limits that upstreams name for the whole fleet

Operators saw: an upstream in need named 6.2 requests a second and got 104 in 4 s. Cause: nobody took notice of the limit. Class: a bound on the whole fleet that no process keeps, since each knows only what it sends itself. Change: each entry uses an equal share of a named limit, by token buckets. Entries pass on what they are told, and that a limit has ended. If no upstream is left, callers are refused at once.

--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/place"
 	"cranberrypoint.example/coord/stages"
@@ -74,8 +75,9 @@
 	// Peers returns the other engines of the service whose managers take part in the decision
 	// on stages.
 	Peers func() []stages.Peer
-	// Observe is called with what each answer of the engine says of it, if not nil.
-	Observe func(calls.ResponseInfo)
+	// Observe is called with what each answer of the engine says of it, and when its request was sent, if
+	// not nil.
+	Observe func(i calls.ResponseInfo, sentAt time.Time)
 	// MayCall reports whether the engine may be called now; nil for always. The pauses that the
 	// engine asks the manager itself for are kept in any case.
 	MayCall func() bool
@@ -115,6 +117,9 @@
 	leaving bool
 	// pauses holds the pause that the engine has asked this manager for.
 	pauses *pause.Table
+	// limits holds the limit that the engine names to this manager, and polledAt is when it was last polled.
+	limits   *pacer.Table
+	polledAt time.Time
 	// orderedStage is the stage of the last order that the engine accepted.
 	orderedStage wire.Stage
 	// stateChanged is closed and replaced at each change that followers are sent at once. Other
@@ -154,6 +159,7 @@
 		stages:       stages.New(s.StartedAt, s.Name),
 		waiters:      map[string]chan place.Outcome{},
 		pauses:       pause.New(),
+		limits:       pacer.New(pacer.NoShare),
 		stateChanged: make(chan struct{}),
 	}
 	for _, o := range opts {
@@ -235,9 +241,14 @@
 	return len(m.waiters) > 0
 }
 
-// healthy reports whether the last report is younger than reportTTL. The caller holds the
-// lock.
-func (m *Manager) healthy(now time.Time) bool { return now.Sub(m.reportedAt) < m.reportTTL }
+// healthy reports whether the last report is young enough. The caller holds the lock.
+func (m *Manager) healthy(now time.Time) bool {
+	ttl := m.reportTTL
+	if m.limits.IsLimited(now, m.settings.Name) {
+		ttl = max(ttl, remoteReportTTL)
+	}
+	return now.Sub(m.reportedAt) < ttl
+}
 
 // deliver sends outcomes to the waiters of their requests. The caller holds the lock.
 func (m *Manager) deliver(out []place.Outcome) {
--- a/coord/admit/admit_test.go
+++ b/coord/admit/admit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/wire"
 	"github.com/google/go-cmp/cmp"
 )
@@ -27,6 +28,7 @@
 		{"changing by an order that this process did not send", now, true, wire.Stage_STAGE_UNKNOWN, wire.Stage_STAGE_PREFILL},
 	} {
 		m := &Manager{
+			limits:       pacer.New(pacer.NoShare),
 			reportTTL:    reportTTL,
 			reportedAt:   c.reportedAt,
 			orderedStage: c.orderedStage,
--- a/coord/admit/engine.go
+++ b/coord/admit/engine.go
@@ -19,6 +19,9 @@
 
 // pollEngine fetches the engine's report and updates the agent's state from it.
 func (m *Manager) pollEngine() {
+	if !m.isPollDue() {
+		return
+	}
 	r, err := m.fetchReport()
 	m.settings.Metrics.polls.WithLabelValues(boolLabel(err == nil)).Inc()
 	now := time.Now()
@@ -46,6 +49,19 @@
 	m.deliver(m.ledger.Observe(now, r.Usage))
 }
 
+// isPollDue reports whether the engine should be polled now. While it names a limit, polls are as seldom as
+// those of an engine on another VM.
+func (m *Manager) isPollDue() bool {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.limits.IsLimited(now, m.settings.Name) && now.Sub(m.polledAt) < remotePollInterval {
+		return false
+	}
+	m.polledAt = now
+	return true
+}
+
 // handlePollError marks the engine as unhealthy at once if the poll couldn't be sent, as when
 // the engine refuses connections. After any other failure, such as a timeout of an overloaded
 // engine, it stays healthy until its last report is older than reportTTL. The caller holds
@@ -81,6 +97,7 @@
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	if body != nil {
 		h.Set("Content-Type", "application/json")
 	}
@@ -95,7 +112,7 @@
 		return 0, nil, err
 	}
 	defer func() { _ = r.Body.Close() }()
-	m.observe(m.settings.Codec.ResponseInfo(r.Status, r.Header))
+	m.observe(m.settings.Codec.ResponseInfo(r.Status, r.Header), sentAt)
 	b, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes))
 	return r.Status, b, err
 }
@@ -114,11 +131,12 @@
 	return !isPaused
 }
 
-// observe acts on what an answer of the engine says of it.
-func (m *Manager) observe(i calls.ResponseInfo) {
+// observe acts on what an answer of the engine says of it. sentAt is when the request was sent.
+func (m *Manager) observe(i calls.ResponseInfo, sentAt time.Time) {
 	if m.settings.Observe != nil {
-		m.settings.Observe(i)
+		m.settings.Observe(i, sentAt)
 	}
+	m.limits.Hear(time.Now(), sentAt, m.settings.Name, i.Limit)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.pauses.Ask(time.Now(), m.settings.Name, i.Pause)
--- a/coord/rumor/rumor.go
+++ b/coord/rumor/rumor.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/wire"
 )
@@ -12,17 +13,21 @@
 // Rumors are the tables whose content members exchange.
 type Rumors struct {
 	Poison *poison.Table
+	Pacer  *pacer.Table
 }
 
-// New returns rumors with empty tables.
-func New() Rumors { return Rumors{Poison: poison.New()} }
+// New returns rumors with empty tables, of a process that uses no limits itself.
+func New() Rumors {
+	return Rumors{Poison: poison.New(), Pacer: pacer.New(pacer.NoShare)}
+}
 
 // Report returns what others should know.
 func (r Rumors) Report(now time.Time) *wire.Rumors {
-	return &wire.Rumors{Suspects: r.Poison.Report(now)}
+	return &wire.Rumors{Suspects: r.Poison.Report(now), Limits: r.Pacer.Report(now)}
 }
 
 // Merge adds what another member knows. It reports whether others should hear of it at once.
 func (r Rumors) Merge(now time.Time, m *wire.Rumors) (urgent bool) {
+	r.Pacer.Merge(now, m.Limits)
 	return r.Poison.Merge(now, m.Suspects)
 }
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -110,8 +110,7 @@
 func (p *Proxy) candidates(service string, stage wire.Stage, tried map[string]bool) (l []candidate) {
 	now := time.Now()
 	for _, u := range p.snapshot.Load().services[service] {
-		_, isPaused := p.pauses.Until(now, u.Instance)
-		if tried[u.Instance] || isPaused || p.unsubscribed[u.Address] || p.picker.Ejected(now, u.Instance) {
+		if tried[u.Instance] || !p.isAvailable(now, u.Instance) || p.unsubscribed[u.Address] || p.picker.Ejected(now, u.Instance) {
 			continue
 		}
 		c := candidate{upstream: u, stage: u.Stage}
--- a/entry/proxy/engines_test.go
+++ b/entry/proxy/engines_test.go
@@ -7,6 +7,7 @@
 
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/roster"
@@ -38,7 +39,7 @@
 			t.Fatal(err)
 		}
 	}
-	p := &Proxy{settings: Settings{VM: name(i)}, mesh: m, pauses: pause.New(), picker: picker.New("", 1), engineStats: newEngineStats()}
+	p := &Proxy{settings: Settings{VM: name(i)}, mesh: m, pauses: pause.New(), pacer: pacer.New(nil), picker: picker.New("", 1), engineStats: newEngineStats()}
 	p.subscriptions = map[string]*subscription{
 		"told:1": {receivedAt: time.Now(), state: &wire.PlaceState{Stage: wire.Stage_STAGE_DECODE, Sound: true, Room: room, Memory: testMemory, Slots: 12, AgainMicros: 1e6}},
 	}
--- a/entry/proxy/manage.go
+++ b/entry/proxy/manage.go
@@ -106,7 +106,7 @@
 		Metrics:   p.metrics.admit,
 		Log:       p.log,
 		Peers:     func() []stages.Peer { return p.agentlessPeers(u) },
-		Observe:   func(i calls.ResponseInfo) { p.observeUpstream(u, i) },
+		Observe:   func(i calls.ResponseInfo, sentAt time.Time) { p.observeUpstream(u, i, sentAt) },
 		MayCall:   func() bool { return !p.isPaused(u.Instance) },
 		Fence:     p.mesh.NextFence,
 	}, admit.WithRemoteEngine(), admit.WithOrdersFrom(a.OrdersFrom))
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -32,7 +32,7 @@
 	tried := map[string]bool{}
 	var last error
 	for range maxPlainUpstreams {
-		if e := cmp.Or(p.checkStillAllowed(x), p.checkQuarantine(x), p.checkPauses(x)); e != nil {
+		if e := cmp.Or(p.checkStillAllowed(x), p.checkQuarantine(x), p.checkAvailable(x)); e != nil {
 			p.fail(x, e)
 			return
 		}
@@ -137,7 +137,7 @@
 	return !x.route.AtMostOnce() && x.attempts < max(1, x.route.MaxAttempts) && p.poison.MayRepeat(time.Now(), x.call.PromptParts)
 }
 
-// pickUpstream picks an upstream that was not tried yet and wants no pause. One that is said to
+// pickUpstream picks an upstream that was not tried yet and may get a request now. One that is said to
 // leave is picked only if there is no other.
 func (p *Proxy) pickUpstream(x *exchange, tried map[string]bool) (roster.Upstream, bool) {
 	now := time.Now()
@@ -145,9 +145,8 @@
 	defer p.mu.Unlock()
 	var staying, saidToLeave []roster.Upstream
 	for _, u := range p.snapshot.Load().services[x.service.Name] {
-		_, isPaused := p.pauses.Until(now, u.Instance)
 		switch {
-		case tried[u.Instance] || isPaused:
+		case tried[u.Instance] || !p.isAvailable(now, u.Instance):
 		case p.isSaidToLeave(now, u.Instance):
 			saidToLeave = append(saidToLeave, u)
 		default:
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -187,7 +187,8 @@
 
 // freeKVCache asks an engine to free a KV cache that no engine will fetch.
 func (p *Proxy) freeKVCache(c candidate, h calls.KVHandle) {
-	if p.isPaused(c.upstream.Instance) {
+	now := time.Now()
+	if p.isPaused(c.upstream.Instance) || !p.pacer.Take(now, c.upstream.Instance) {
 		// The engine drops the cache by itself.
 		return
 	}
@@ -199,7 +200,7 @@
 		p.log.WithField("event", "free-failed").WithField("instance", c.upstream.Instance).WithError(err).Warn("KV cache was not freed")
 		return
 	}
-	p.observeUpstream(c.upstream, p.codec.ResponseInfo(resp.Status, resp.Header))
+	p.observeUpstream(c.upstream, p.codec.ResponseInfo(resp.Status, resp.Header), now)
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHandleBytes))
 	_ = resp.Body.Close()
 }
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/opsrv"
+	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/poison"
@@ -156,8 +157,9 @@
 	storeLost    bool
 	// loggedLimits holds the limits, in requests a second, that upstreams were last seen to name.
 	loggedLimits map[string]float64
-	// poison has a lock of its own: it is used without p.mu.
+	// poison and pacer have locks of their own.
 	poison *poison.Table
+	pacer  *pacer.Table
 }
 
 // Start runs an entry. The returned function stops it at once; see Drain for a graceful shutdown.
@@ -203,6 +205,7 @@
 		clientConns:       newConnTracker(listeners[0]),
 		poison:            poison.New(),
 	}
+	p.pacer = pacer.New(p.limitShare)
 	var closeConns func()
 	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc)
 	self := &wire.Member{
@@ -214,7 +217,7 @@
 		Incarnation: now.UnixMilli(),
 	}
 	p.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(p.updateSelf),
-		mesh.WithAfterHeartbeat(p.afterHeartbeat), mesh.WithRumors(rumor.Rumors{Poison: p.poison}))
+		mesh.WithAfterHeartbeat(p.afterHeartbeat), mesh.WithRumors(rumor.Rumors{Poison: p.poison, Pacer: p.pacer}))
 	stopMesh := p.mesh.Start()
 	var stopOps []func()
 	for _, l := range listeners[2:] {
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -43,6 +43,10 @@
 	if err := p.checkUpstream(u); err != nil {
 		return nil, calls.ResponseInfo{}, err
 	}
+	now := time.Now()
+	if !p.pacer.Take(now, u.Instance) {
+		return nil, calls.ResponseInfo{}, &upconn.Error{Err: errUpstreamLimited}
+	}
 	h := x.r.Header.Clone()
 	hops.Strip(h)
 	params.Instance = u.Instance
@@ -73,7 +77,7 @@
 		return nil, calls.ResponseInfo{}, err
 	}
 	info := p.codec.ResponseInfo(resp.Status, resp.Header)
-	p.observeUpstream(u, info)
+	p.observeUpstream(u, info, now)
 	if resp.Status < http.StatusMultipleChoices && !info.Signed && !params.Prefill {
 		_ = resp.Body.Close()
 		p.recordResult(x, u, picker.NoAnswer, nil, purpose)
--- a/entry/proxy/upstate.go
+++ b/entry/proxy/upstate.go
@@ -9,6 +9,8 @@
 
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/upconn"
@@ -26,11 +28,15 @@
 	hearsayTime = 10 * time.Second
 )
 
+// errUpstreamLimited means that this entry has used up its share of the limit that an upstream names.
+var errUpstreamLimited = eris.New("the share of the upstream's limit is used up")
+
 // errUpstreamPaused means that an upstream wants no requests for a time.
 var errUpstreamPaused = eris.New("the upstream has asked for a pause")
 
 // observeUpstream acts on what an upstream says of its own state in an answer of any kind.
-func (p *Proxy) observeUpstream(u roster.Upstream, info calls.ResponseInfo) {
+// sentAt is when the request was sent.
+func (p *Proxy) observeUpstream(u roster.Upstream, info calls.ResponseInfo, sentAt time.Time) {
 	if info.Invalid != "" {
 		p.logInvalidHeader(u, info.Invalid)
 	}
@@ -41,6 +47,7 @@
 		p.mu.Unlock()
 		p.log.WithFields(logrus.Fields{"event": "upstream-paused", "instance": u.Instance, "for-ms": info.Pause.Milliseconds()}).Info("upstream wants no requests for a time")
 	}
+	p.pacer.Hear(time.Now(), sentAt, u.Instance, info.Limit)
 	p.logLimit(u, info.Limit)
 	if info.Leaving {
 		p.announceLeaving(u)
@@ -155,21 +162,54 @@
 	return ok
 }
 
-// checkPauses refuses a request if all upstreams of its service have asked for a pause.
-func (p *Proxy) checkPauses(x *exchange) *fault.Error {
-	var l []string
-	for _, u := range p.snapshot.Load().services[x.service.Name] {
-		l = append(l, u.Instance)
+// availableAt returns when an upstream may get a request: after its pause, and as soon as this entry's share
+// of its limit allows; now at the earliest. p.mu must be held.
+func (p *Proxy) availableAt(now time.Time, instance string) time.Time {
+	at := p.pacer.Next(now, instance)
+	if end, ok := p.pauses.Until(now, instance); ok && end.After(at) {
+		return end
+	}
+	return at
+}
+
+// isAvailable reports whether an upstream may get a request now. p.mu must be held.
+func (p *Proxy) isAvailable(now time.Time, instance string) bool {
+	return !p.availableAt(now, instance).After(now)
+}
+
+// checkAvailable refuses a request if all upstreams of its service have asked for a pause, or named limits of
+// which this entry has used up its share.
+func (p *Proxy) checkAvailable(x *exchange) *fault.Error {
+	if x.mayHaveRun {
+		return nil
 	}
 	now := time.Now()
+	var first time.Time
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	end, ok := p.pauses.FirstEnd(now, l)
-	if !ok || x.mayHaveRun {
+	for _, u := range p.snapshot.Load().services[x.service.Name] {
+		at := p.availableAt(now, u.Instance)
+		if !at.After(now) {
+			return nil
+		}
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	if first.IsZero() {
 		return nil
 	}
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return fault.NotRun(fault.Overloaded, "all upstreams have asked for a pause").WithRetryAt(pause.ReturnAt(now, end, r))
+	return fault.NotRun(fault.Overloaded, "all upstreams have asked for a pause or named limits that are used up").WithRetryAt(pause.ReturnAt(now, first, r))
+}
+
+// limitShare returns the part of an upstream's limit that this entry may use.
+func (p *Proxy) limitShare(instance string, perSecond float64) float64 {
+	names := []string{p.settings.VM}
+	for _, m := range p.mesh.Live(mesh.RoleEntry) {
+		names = append(names, m.Name)
+	}
+	return pacer.EqualShare(instance, perSecond, p.settings.VM, names, 1+p.mesh.CountKnown(mesh.RoleEntry))
 }
 
 // checkUpstream reports why a request may not be sent to an upstream that was picked before; nil if
@@ -184,10 +224,10 @@
 	return nil
 }
 
-// isUnavailable reports whether a send or a reservation failed because its upstream leaves or wants
-// a pause, so that another one should be asked at once.
+// isUnavailable reports whether a send or a reservation failed because its upstream leaves, wants a pause
+// or is limited, so that another one should be asked at once.
 func isUnavailable(err error) bool {
-	return errors.Is(err, errUpstreamLeaving) || errors.Is(err, errUpstreamPaused)
+	return errors.Is(err, errUpstreamLeaving) || errors.Is(err, errUpstreamPaused) || errors.Is(err, errUpstreamLimited)
 }
 
 func (p *Proxy) logInvalidHeader(u roster.Upstream, header string) {
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -174,6 +174,7 @@
 		p.logUpstream("upstream-gone", c.Before)
 		p.picker.Forget(c.Before.Instance)
 		p.pauses.Forget(c.Before.Instance)
+		p.pacer.Forget(c.Before.Instance)
 		delete(p.loggedLimits, c.Before.Instance)
 		p.conns.CloseIdle(c.Before.Address)
 	case c.Before == nil:
--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -13,6 +13,7 @@
 	"cranberrypoint.example/coord/digest"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
@@ -72,6 +73,7 @@
 		roster:       roster.New(),
 		upstreams:    digest.New(),
 		pauses:       pause.New(),
+		pacer:        pacer.New(nil),
 		leaving:      map[string]time.Time{},
 		heardLeaving: map[string]hearsay{},
 		mesh:         mesh.New(&wire.Member{Name: "z", Role: mesh.RoleEntry}, nil, links, log),
