router, oai, host, engine: quarantine parts of prompts on the OpenAI door

Change: an agent whose engine breaks off an answer and takes no new connection says so; the router keeps the evidence by the hash of each message, doesn't repeat a request once two engines have ended under one of its messages, and refuses further ones after three. Entries of this door don't share what they learn yet.

--- a/agent/host/call.go
+++ b/agent/host/call.go
@@ -109,7 +109,7 @@
 		Priority:   priority(x.Open),
 	})
 	if err != nil {
-		return nil, engineError(err)
+		return nil, h.engineError(ctx, err)
 	}
 	return &wire.Done{Handle: p.Handle, Source: h.engine.Base(), PromptTokens: p.PromptTokens, CachedTokens: p.CachedTokens}, nil
 }
@@ -132,7 +132,7 @@
 	name := x.Run.String()
 	err := h.engine.Import(ctx, engine.Import{Request: name, Source: x.Feed.GetSource(), Handle: x.Feed.GetHandle()})
 	if err != nil {
-		return nil, engineError(err)
+		return nil, h.engineError(ctx, err)
 	}
 	n := int64(0)
 	err = h.engine.Decode(ctx, engine.Decode{
@@ -148,7 +148,7 @@
 		return c.waitWhilePaused(ctx)
 	})
 	if err != nil {
-		return nil, engineError(err)
+		return nil, h.engineError(ctx, err)
 	}
 	return &wire.Done{OutputTokens: n}, nil
 }
@@ -156,7 +156,7 @@
 // engineError converts the error of a call to the engine. A failure to connect or an error
 // status means that the request didn't run. After any other failure it is unknown whether the
 // request ran; WithRan then replaces the RAN_NO that NotRun sets.
-func engineError(err error) *fault.Error {
+func (h *Host) engineError(ctx context.Context, err error) *fault.Error {
 	var o *net.OpError
 	if errors.As(err, &o) && o.Op == "dial" {
 		return fault.NotRun(fault.Unreachable, "the engine refused the connection")
@@ -165,7 +165,11 @@
 	if errors.As(err, &s) {
 		return fault.NotRun(fault.UpstreamError, "%s", s.Text)
 	}
-	return fault.NotRun(fault.UpstreamError, "the engine gave no whole answer").WithRan(wire.Ran_RAN_UNKNOWN)
+	code, text := fault.UpstreamError, "the engine gave no whole answer"
+	if ctx.Err() == nil && h.engine.HasEnded(ctx) {
+		code, text = fault.UpstreamEnded, "the engine ended while it worked on the request"
+	}
+	return fault.NotRun(code, "%s", text).WithRan(wire.Ran_RAN_UNKNOWN)
 }
 
 // plain forwards a request to a plain HTTP service. It passes the head and the data of the
--- a/coord/fault/fault.go
+++ b/coord/fault/fault.go
@@ -41,6 +41,8 @@
 	Unreachable Code = "upstream_unreachable"
 	// UpstreamError means that an upstream failed or returned an incomplete response.
 	UpstreamError Code = "upstream_error"
+	// UpstreamEnded means that the process of an upstream ended while the request ran there.
+	UpstreamEnded Code = "upstream_ended"
 	// OutcomeUnknown means that the request ran or may have run, but its result is lost.
 	OutcomeUnknown Code = "outcome_unknown"
 	// OutcomeForgotten means that the request may be a duplicate of one that ran earlier, and
@@ -80,7 +82,7 @@
 		return http.StatusTooManyRequests
 	case Duplicate:
 		return http.StatusConflict
-	case UpstreamError, OutcomeUnknown:
+	case UpstreamError, UpstreamEnded, OutcomeUnknown:
 		return http.StatusBadGateway
 	case DeadlineExceeded:
 		return http.StatusGatewayTimeout
--- a/coord/pacer/pacer_test.go
+++ b/coord/pacer/pacer_test.go
@@ -50,8 +50,10 @@
 		}
 	}
 	x.Hear(at(6), at(5.9), "u", 0)
-	if !x.Take(at(6), "u") || !x.Take(at(6), "u") {
-		t.Error("no token after the limit has ended")
+	for range 2 {
+		if !x.Take(at(6), "u") {
+			t.Error("no token after the limit has ended")
+		}
 	}
 }
 
--- a/coord/poison/fleet_test.go
+++ b/coord/poison/fleet_test.go
@@ -1,4 +1,4 @@
-package poison
+package poison_test
 
 import (
 	"fmt"
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fake"
+	"cranberrypoint.example/coord/poison"
 )
 
 // fleet replays a load on entries that exchange evidence with each other, and on upstreams that crash.
@@ -14,7 +15,7 @@
 	t       *testing.T
 	rand    *rand.Rand
 	now     time.Time
-	entries []*Table
+	entries []*poison.Table
 	// startsAt holds when an upstream is back, starts how often it has started.
 	startsAt []time.Time
 	starts   []int
@@ -41,12 +42,14 @@
 	fleetRunTime     = time.Second
 	fleetPoisonTime  = 100 * time.Millisecond
 	fleetContactTime = 3 * time.Second
+	// crashesToJudge is the number of crashes from which on a replay is judged.
+	crashesToJudge = 3
 )
 
 func newFleet(t *testing.T, seed uint64, entries, upstreams int) *fleet {
-	f := &fleet{t: t, rand: rand.New(rand.NewPCG(seed, seed)), now: start, startsAt: make([]time.Time, upstreams), starts: make([]int, upstreams)}
+	f := &fleet{t: t, rand: rand.New(rand.NewPCG(seed, seed)), now: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), startsAt: make([]time.Time, upstreams), starts: make([]int, upstreams)}
 	for range entries {
-		f.entries = append(f.entries, New())
+		f.entries = append(f.entries, poison.New())
 	}
 	return f
 }
@@ -151,7 +154,7 @@
 // check checks what the fleet sent after the fifth crash.
 func (f *fleet) check(name string) {
 	f.t.Helper()
-	if len(f.crashes) < quarantineEnds {
+	if len(f.crashes) < crashesToJudge {
 		return
 	}
 	last := f.crashes[min(len(f.crashes), 5)-1].Add(fleetContactTime)
--- a/coord/router/event.go
+++ b/coord/router/event.go
@@ -37,6 +37,8 @@
 	Prompt []byte
 	// PromptTokens is the number of prompt tokens, estimated from the size of Prompt.
 	PromptTokens int64
+	// PromptParts are ids of the parts of the prompt that other requests may share.
+	PromptParts []string
 	// MaxTokens is the requested limit on output tokens; 0 means the route's limit.
 	MaxTokens int64
 	Method    string
--- a/coord/router/place.go
+++ b/coord/router/place.go
@@ -23,6 +23,10 @@
 // Policy.ReserveDecode, it is the prefill run as long as no KV cache is pending. If no
 // upstream fits, the request waits for one or fails.
 func (r *Router) openNextRun(q *request) {
+	if err := r.checkQuarantine(q); err != nil {
+		r.fail(q, err.WithRan(q.ran))
+		return
+	}
 	stage := fleet.Plain
 	if q.usesModel {
 		stage = fleet.Decode
--- a/coord/router/recover.go
+++ b/coord/router/recover.go
@@ -28,6 +28,10 @@
 		return
 	}
 	q.excluded[t.vm] = true
+	if r.recordEnd(q, t, err); !r.poison.MayRepeat(r.now, q.call.PromptParts) {
+		r.fail(q, err.WithRan(q.ran))
+		return
+	}
 	r.retry(q, t, err)
 }
 
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -20,6 +20,7 @@
 	"cranberrypoint.example/coord/assert"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/quota"
 	"cranberrypoint.example/coord/trace"
 	"cranberrypoint.example/coord/tree"
@@ -68,8 +69,10 @@
 	roundRobinCount int
 	// prefillNanosPerToken is the moving average of the prefill time of one prompt token.
 	prefillNanosPerToken float64
-	now                  time.Time
-	effects              []Effect
+	// poison holds the parts of prompts under which engines ended.
+	poison  *poison.Table
+	now     time.Time
+	effects []Effect
 }
 
 // Option configures a Router.
@@ -92,6 +95,7 @@
 		requests:         map[RequestID]*request{},
 		unreachableUntil: map[string]time.Time{},
 		goneAt:           map[string]time.Time{},
+		poison:           poison.New(),
 	}
 	for _, o := range opts {
 		o(r)
--- a/coord/upconn/upconn_test.go
+++ b/coord/upconn/upconn_test.go
@@ -338,3 +338,30 @@
 		t.Errorf("the upstream's read ended with %v, want a reset", err)
 	}
 }
+
+// TestHasEnded checks that an upstream which only closes connections isn't taken for one that has ended, and
+// that the connection which shows this is used by the next request.
+func TestHasEnded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened := 0
+	p, closePool := NewPool(func() { opened++ })
+	defer closePool()
+	for range 2 {
+		if p.HasEnded(t.Context(), l.Addr().String(), 0, 1) {
+			t.Error("a running upstream has ended")
+		}
+	}
+	if p.HasEnded(t.Context(), l.Addr().String(), 1, 1) {
+		t.Error("an upstream to which no more connections may be opened has ended")
+	}
+	if c := p.takeIdle(l.Addr().String()); c == nil || opened != 2 {
+		t.Errorf("idle connection %v after %d were opened; want one after 2", c, opened)
+	}
+	_ = l.Close()
+	if !p.HasEnded(t.Context(), l.Addr().String(), 0, 1) {
+		t.Error("an upstream that takes no connection has not ended")
+	}
+}
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -110,6 +110,7 @@
 		Prompt:       []byte(p),
 		PromptTokens: wire.Tokens(len(p)),
 		MaxTokens:    r.MaxOutputTokens(),
+		PromptParts:  r.PartIDs(),
 	}
 	a := &completionWriter{w: w, request: r, isChat: isChat, arrived: arrived, metrics: e.metrics}
 	e.serveCall(w, q, c, nil, a)
--- a/entry/oai/oai.go
+++ b/entry/oai/oai.go
@@ -3,6 +3,8 @@
 package oai
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"strings"
 
@@ -100,6 +102,26 @@
 	return t.String()
 }
 
+// PartIDs returns ids of the parts of the prompt that other requests may share: its messages, or the whole
+// prompt of a text completion. The same text has the same id, which doesn't show the text.
+func (r *Request) PartIDs() (ids []string) {
+	if r.Prompt != nil {
+		return []string{partID(string(*r.Prompt))}
+	}
+	for _, m := range r.Messages {
+		ids = append(ids, partID(m.Role+": "+string(m.Content)))
+	}
+	return ids
+}
+
+func partID(text string) string {
+	h := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(h[:partIDBytes])
+}
+
+// partIDBytes is the length of the id of a part, enough to tell all parts apart.
+const partIDBytes = 8
+
 // MaxOutputTokens returns the requested limit on output tokens, the larger one of
 // max_tokens and max_completion_tokens, or 0 if there is none.
 func (r *Request) MaxOutputTokens() int64 { return max(r.MaxTokens, r.MaxCompletionTokens) }
