upconn: tell that an upstream has ended at the bound of connections too

An entry that held as many connections to an upstream as it may didn't look whether it had ended, so the end was no evidence against the prompt. Found by reading. TestHasEnded fails on the code before in the case of one connection.

--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -234,13 +235,18 @@
 }
 
 // HasEnded reports whether the process at an address has ended: it is to be called after it has closed a
-// connection, and then takes no new one. A connection that it takes is kept as an idle one.
+// connection, and then takes no new one. A connection that it takes is kept as an idle one, unless maxConns
+// are open.
 func (p *Pool) HasEnded(ctx context.Context, address string, maxConns, maxIdle int) bool {
 	c, err := p.dial(ctx, address, maxConns)
-	switch {
-	case errors.Is(err, ErrMaxConns):
-		return false
-	case err != nil:
+	if errors.Is(err, ErrMaxConns) {
+		var n net.Conn
+		if n, err = newDialer().DialContext(ctx, "tcp", address); err == nil {
+			_ = n.Close()
+			return false
+		}
+	}
+	if err != nil {
 		return ctx.Err() == nil
 	}
 	c.expiresAt = time.Now().Add(defaultIdleTimeout)
--- a/coord/upconn/upconn_test.go
+++ b/coord/upconn/upconn_test.go
@@ -355,13 +355,15 @@
 		}
 	}
 	if p.HasEnded(t.Context(), l.Addr().String(), 1, 1) {
-		t.Error("an upstream to which no more connections may be opened has ended")
+		t.Error("a running upstream has ended, with as many connections open as may be")
 	}
 	if c := p.takeIdle(l.Addr().String()); c == nil || opened != 2 {
 		t.Errorf("idle connection %v after %d were opened; want one after 2", c, opened)
 	}
 	_ = l.Close()
-	if !p.HasEnded(t.Context(), l.Addr().String(), 0, 1) {
-		t.Error("an upstream that takes no connection has not ended")
+	for _, maxConns := range []int{0, 1} {
+		if !p.HasEnded(t.Context(), l.Addr().String(), maxConns, 1) {
+			t.Errorf("an upstream that takes no connection has not ended, at most %d may be open", maxConns)
+		}
 	}
 }
