proxy: an upstream that is back at once has ended too

An engine that crashes and starts again before the entry looks, or that stands behind something which takes connections for it, left no evidence: the same incident (poison messages) by another way. Found by asking which ends the check can't see. Change: a request that broke off at an upstream which takes connections is remembered for eight seconds. If the upstream proves to be another process, or is gone without having announced it, its end counts from then on, as of the time when the request broke off.

--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -157,6 +157,8 @@
 	storeLost    bool
 	// loggedLimits holds the limits, in requests a second, that upstreams were last seen to name.
 	loggedLimits map[string]float64
+	// broken holds requests whose upstreams may have ended.
+	broken []brokenOff
 	// poison and pacer have locks of their own.
 	poison *poison.Table
 	pacer  *pacer.Table
--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -15,8 +16,14 @@
 	"github.com/sirupsen/logrus"
 )
 
-// endCheckTimeout bounds the check whether an upstream has ended.
-const endCheckTimeout = time.Second
+const (
+	// endCheckTimeout bounds the check whether an upstream has ended.
+	endCheckTimeout = time.Second
+	// brokenOffTime is how long after a request has broken off its upstream may prove to be gone.
+	brokenOffTime = 8 * time.Second
+	// maxBrokenOff bounds the requests that are remembered for that.
+	maxBrokenOff = 512
+)
 
 // checkQuarantine refuses a request with a part in its prompt under which upstreams crash. The next
 // upstream would crash too.
@@ -64,24 +71,56 @@
 }
 
 // checkEnded checks whether an upstream has ended, after its connection broke off under a request, and
-// records that. A connection may also be reset on its way, or by an upstream that goes on.
+// records that. A connection may also be reset on its way, or by an upstream that goes on; if the upstream
+// takes connections, the request is remembered in case that it turns out to be a new process.
 func (p *Proxy) checkEnded(x *exchange, u roster.Upstream) (ended bool) {
 	if len(x.call.PromptParts) == 0 {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, endCheckTimeout)
 	defer cancel()
-	if !p.conns.HasEnded(ctx, u.Address, x.service.MaxConnections, p.maxIdleConns(x.service)) {
-		return false
+	b := brokenOff{at: time.Now(), upstream: u, request: x.call.ID, parts: x.call.PromptParts}
+	if p.conns.HasEnded(ctx, u.Address, x.service.MaxConnections, p.maxIdleConns(x.service)) {
+		p.recordEnded(b)
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.broken = append(slices.DeleteFunc(p.broken, func(o brokenOff) bool { return time.Since(o.at) > brokenOffTime }), b)
+	if len(p.broken) > maxBrokenOff {
+		p.broken = p.broken[1:]
 	}
+	return false
+}
+
+// brokenOff is a request whose upstream closed the connection before the end of its answer.
+type brokenOff struct {
+	at       time.Time
+	upstream roster.Upstream
+	request  string
+	parts    []string
+}
+
+// recordGone records that an upstream has ended under the requests that had just broken off there: it is gone
+// and had not announced that. p.mu must be held.
+func (p *Proxy) recordGone(u roster.Upstream) {
+	p.broken = slices.DeleteFunc(p.broken, func(b brokenOff) bool {
+		isGone := b.upstream.Instance == u.Instance && b.upstream.Born == u.Born
+		if isGone && time.Since(b.at) < brokenOffTime {
+			p.recordEnded(b)
+		}
+		return isGone
+	})
+}
+
+// recordEnded records that an upstream has ended under a request.
+func (p *Proxy) recordEnded(b brokenOff) {
 	p.metrics.upstreamsEnded.Inc()
 	p.log.WithFields(logrus.Fields{
-		"event": "upstream-ended", "instance": u.Instance, "address": u.Address, "request": x.call.ID, "parts": x.call.PromptParts,
+		"event": "upstream-ended", "instance": b.upstream.Instance, "address": b.upstream.Address, "request": b.request, "parts": b.parts,
 	}).Warn("upstream ended under a request")
-	now := time.Now()
-	if p.poison.Ended(now, fmt.Sprintf("%s/%d", u.Instance, u.Born), x.call.PromptParts) {
-		p.log.WithFields(logrus.Fields{"event": "parts-suspect", "quarantined": p.poison.Quarantined(now)}).Warn("several upstreams have ended under a part of prompts")
+	if p.poison.Ended(b.at, fmt.Sprintf("%s/%d", b.upstream.Instance, b.upstream.Born), b.parts) {
+		p.log.WithFields(logrus.Fields{"event": "parts-suspect", "quarantined": p.poison.Quarantined(b.at)}).Warn("several upstreams have ended under a part of prompts")
 		p.mesh.Spread()
 	}
-	return true
 }
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -169,6 +169,9 @@
 // handleRosterChange logs a change of the roster and forgets upstreams that are gone. p.mu must
 // be held.
 func (p *Proxy) handleRosterChange(c roster.Change) {
+	if c.Before != nil && !c.Before.Leaving && (c.After == nil || c.After.Born != c.Before.Born) {
+		p.recordGone(*c.Before)
+	}
 	switch {
 	case c.After == nil:
 		p.logUpstream("upstream-gone", c.Before)
