poison, rumor: send old evidence only to members that lack it

Suspect parts went with each gossip for up to an hour, at the worst some 10 KB each time, where all control of a node has 23 KB/s. Now requests carry what is new and a hash of all; a member whose own hash differs replies with everything. Engines that end together count half, so that a rate of poison messages that crashes all engines at once is seen too, and more ends are kept of each part, so that a heavy part goes on explaining those beside it. TestEvidenceOutlivesEntries: entries that are killed together learn from the agents. TestOldEvidenceIsExchangedOnce and the replays of fleets use the exchange by hash.

--- a/coord/mesh/mesh.go
+++ b/coord/mesh/mesh.go
@@ -56,8 +56,10 @@
 // Rumors is what members learn from each other besides the members. It is called without the lock of the
 // mesh.
 type Rumors interface {
-	// Report returns what others should know.
+	// Report returns what any other member should know.
 	Report(now time.Time) *wire.Rumors
+	// Reply returns what the sender of a request should know, given what it reports itself.
+	Reply(now time.Time, q *wire.Rumors) *wire.Rumors
 	// Merge adds what another member knows. It reports whether others should hear of it at once.
 	Merge(now time.Time, r *wire.Rumors) (urgent bool)
 }
@@ -65,8 +67,9 @@
 // noRumors is used by members that exchange none.
 type noRumors struct{}
 
-func (noRumors) Report(time.Time) *wire.Rumors      { return nil }
-func (noRumors) Merge(time.Time, *wire.Rumors) bool { return false }
+func (noRumors) Report(time.Time) *wire.Rumors              { return nil }
+func (noRumors) Reply(time.Time, *wire.Rumors) *wire.Rumors { return nil }
+func (noRumors) Merge(time.Time, *wire.Rumors) bool         { return false }
 
 const (
 	// spreadTargets is the number of members that hear urgent rumors at once.
@@ -220,7 +223,7 @@
 	a := m.members.HandleRequest(time.Now(), q)
 	m.mu.Unlock()
 	m.mergeRumors(q.Rumors)
-	a.Rumors = m.rumors.Report(time.Now())
+	a.Rumors = m.rumors.Reply(time.Now(), q.Rumors)
 	return a, nil
 }
 
--- a/coord/poison/exchange.go
+++ b/coord/poison/exchange.go
@@ -2,37 +2,69 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"cranberrypoint.example/coord/wire"
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// spreadTime is how long evidence is passed on after its last change, unless its part is suspect.
+	// spreadTime is how long evidence is passed on after its last change.
 	spreadTime = 10 * time.Second
 	// maxReported bounds the parts in one message, so that the size of an exchange stays bounded.
 	maxReported = 24
 )
 
-// Report returns the evidence for other processes: the parts with the most ends first, then what is new.
-func (t *Table) Report(now time.Time) (l []*wire.Suspect) {
+// Recent returns the evidence that has changed lately, for other processes: the parts with the most ends
+// first, then the newest.
+func (t *Table) Recent(now time.Time) []*wire.Suspect {
+	return t.report(now, func(e *evidence) bool { return now.Sub(e.changedAt) <= spreadTime })
+}
+
+// All returns the evidence for a process that has other evidence; see Hash. Besides what is recent, it has all
+// suspect parts.
+func (t *Table) All(now time.Time) []*wire.Suspect {
+	return t.report(now, func(e *evidence) bool { return now.Sub(e.changedAt) <= spreadTime || e.isSuspect(now) })
+}
+
+// report returns the evidence that is chosen, at most maxReported parts.
+func (t *Table) report(now time.Time, choose func(*evidence) bool) (l []*wire.Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropExcess(now)
 	for _, p := range t.byWeight(now) {
+		if e := t.cases[p]; choose(e) && len(l) < maxReported {
+			l = append(l, e.encode(now, p))
+		}
+	}
+	return l
+}
+
+// Hash identifies the suspect parts and the ends of upstreams under them. Processes with the same hash need
+// not exchange them again.
+func (t *Table) Hash(now time.Time) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := xxhash.New()
+	for _, p := range slices.Sorted(maps.Keys(t.cases)) {
 		e := t.cases[p]
-		if e.ended(now).weight < suspectEnds && now.Sub(e.changedAt) > spreadTime {
+		if !e.isSuspect(now) {
 			continue
 		}
-		l = append(l, e.encode(now, p))
-		if len(l) == maxReported {
-			break
+		// Writes to a hash never fail.
+		_, _ = h.WriteString(p + "\n")
+		for _, u := range slices.Sorted(maps.Keys(e.ends)) {
+			_, _ = h.WriteString(u + "\n")
 		}
 	}
-	return l
+	return h.Sum64()
 }
 
+// isSuspect reports whether requests with the part are at least not repeated.
+func (e *evidence) isSuspect(now time.Time) bool { return e.ended(now).weight >= suspectEnds }
+
 // byWeight returns the parts with evidence, the heaviest first. t.mu must be held.
 func (t *Table) byWeight(now time.Time) (parts []string) {
 	weight := map[string]int{}
--- a/coord/poison/fleet_test.go
+++ b/coord/poison/fleet_test.go
@@ -123,8 +123,12 @@
 // gossip exchanges what an entry and a random other one know.
 func (f *fleet) gossip(entry int) {
 	a, b := f.entries[entry], f.entries[f.rand.IntN(len(f.entries))]
-	b.Merge(f.now, a.Report(f.now))
-	a.Merge(f.now, b.Report(f.now))
+	b.Merge(f.now, a.Recent(f.now))
+	if a.Hash(f.now) == b.Hash(f.now) {
+		a.Merge(f.now, b.Recent(f.now))
+		return
+	}
+	a.Merge(f.now, b.All(f.now))
 }
 
 // play runs the fleet for a time. It sends requests at the given rates, in requests a second.
@@ -180,7 +184,7 @@
 			for _, calm := range []time.Duration{0, 10 * time.Second} {
 				f := newFleet(t, seed, size.entries, size.upstreams)
 				f.play(calm, 20, 0)
-				f.play(30*time.Second, 20, 0.3+3*f.rand.Float64())
+				f.play(30*time.Second, 20, 0.3+15*f.rand.Float64()*f.rand.Float64())
 				f.check(fmt.Sprintf("%d entries, %d upstreams, seed %d, %s calm", size.entries, size.upstreams, seed, calm))
 			}
 		}
--- a/coord/poison/poison.go
+++ b/coord/poison/poison.go
@@ -26,9 +26,10 @@
 	// quarantineEnds is the number of upstreams that must have ended under a part. Two may be a
 	// coincidence.
 	quarantineEnds = 3
-	// coincidence is the time within which upstreams that end count as one: a failure that takes
-	// several with it at once isn't the work of a request.
-	coincidence = 200 * time.Millisecond
+	// coincidence is the time within which upstreams that end count as one, or as half of them if that
+	// is more: a failure that takes several with it at once is seldom the work of requests.
+	coincidence    = 200 * time.Millisecond
+	coincidentEnds = 2
 	// suspectEnds is the number from which on requests with the part aren't repeated.
 	suspectEnds = 2
 	// soundTime is how long a complete answer to a request with a part speaks for the part. If upstreams
@@ -42,7 +43,7 @@
 	evidenceTime = time.Hour
 	// maxCases bounds the parts with evidence against them, maxEnds the ends that are kept for one.
 	maxCases = 512
-	maxEnds  = 16
+	maxEnds  = 32
 )
 
 // Quarantine is the reason for which a request is not sent.
@@ -85,6 +86,7 @@
 			c.last = t
 		}
 	}
+	c.weight = max(c.weight, len(times)/coincidentEnds)
 	if len(times) > 0 && times[0].Sub(e.soundAt) < soundTime {
 		c.weight = max(0, c.weight-soundEnds)
 	}
@@ -94,8 +96,8 @@
 // charge sums up the evidence against a part.
 type charge struct {
 	upstreams []string
-	// weight is the number of ends, of which those that coincide count as one, less what speaks for
-	// the part.
+	// weight is the number of ends, of which those that coincide count less, less what speaks for the
+	// part.
 	weight int
 	// last is the time of the last end, or of the first that coincides with it.
 	last time.Time
--- a/coord/poison/poison_test.go
+++ b/coord/poison/poison_test.go
@@ -53,6 +53,7 @@
 		{"a part among others", three, 4, []string{"good", "bad", "x"}, verdict{true, false}},
 		{"three ends of one upstream", []step{{1, "u1", bad}, {2, "u1", bad}, {3, "u1", bad}}, 4, bad, verdict{false, true}},
 		{"three ends at once", []step{{1, "u1", bad}, {1.05, "u2", bad}, {1.1, "u3", bad}}, 4, bad, verdict{false, true}},
+		{"six ends at once", []step{{1, "u1", bad}, {1, "u2", bad}, {1, "u3", bad}, {1, "u4", bad}, {1, "u5", bad}, {1, "u6", bad}}, 4, bad, verdict{true, false}},
 		{"answered before", append([]step{{0, "", bad}}, three...), 4, bad, verdict{false, true}},
 		{"answered before, five ends", append([]step{{0, "", bad}, {4, "u4", bad}, {5, "u5", bad}}, three...), 6, bad, verdict{true, false}},
 		{"answered between five ends", append([]step{{4, "u4", bad}, {5, "u5", bad}, {4.5, "", bad}}, three...), 6, bad, verdict{false, true}},
@@ -98,7 +99,7 @@
 		for range 2 {
 			for _, a := range l {
 				for _, b := range l {
-					a.Merge(now, b.Report(now))
+					a.Merge(now, b.All(now))
 				}
 			}
 		}
@@ -118,6 +119,24 @@
 	check(at(21), false)
 }
 
+// TestOldEvidenceIsExchangedOnce checks that processes which have the same evidence have the same hash, and that
+// evidence which is no longer new is left out of what any other gets.
+func TestOldEvidenceIsExchangedOnce(t *testing.T) {
+	a := tableAfter(step{1, "u1", []string{"bad"}}, step{2, "u2", []string{"bad"}}, step{3, "u3", []string{"bad"}})
+	b := New()
+	now := at(60)
+	if n := len(a.Recent(now)); n > 0 || a.Hash(now) == b.Hash(now) {
+		t.Errorf("%d parts are new, the hashes are %x and %x", n, a.Hash(now), b.Hash(now))
+	}
+	b.Merge(now, a.All(now))
+	if d := cmp.Diff(a.Hash(now), b.Hash(now)); d != "" {
+		t.Errorf("hash (-want +got):\n%s", d)
+	}
+	if _, ok := b.Check(now, []string{"bad"}); !ok {
+		t.Error("a process that starts later lets requests with the part pass")
+	}
+}
+
 // TestMessagesAndMemoryStayBounded lets thousands of upstreams end under requests with many parts.
 func TestMessagesAndMemoryStayBounded(t *testing.T) {
 	x := New()
@@ -127,7 +146,7 @@
 		x.Answered(now, []string{fmt.Sprintf("sound%d", i)})
 	}
 	now := at(200)
-	if n := len(x.Report(now)); n > maxReported {
+	if n := len(x.All(now)); n > maxReported {
 		t.Errorf("%d parts in a message, want at most %d", n, maxReported)
 	}
 	if n := len(x.cases); n > maxCases {
--- a/coord/rumor/rumor.go
+++ b/coord/rumor/rumor.go
@@ -21,9 +21,19 @@
 	return Rumors{Poison: poison.New(), Pacer: pacer.New(pacer.NoShare)}
 }
 
-// Report returns what others should know.
+// Report returns what is new, for any other member.
 func (r Rumors) Report(now time.Time) *wire.Rumors {
-	return &wire.Rumors{Suspects: r.Poison.Report(now), Limits: r.Pacer.Report(now)}
+	return &wire.Rumors{Suspects: r.Poison.Recent(now), SuspectsHash: r.Poison.Hash(now), Limits: r.Pacer.Report(now)}
+}
+
+// Reply returns what the sender of a request should know: all evidence, if it has other evidence than this
+// process.
+func (r Rumors) Reply(now time.Time, q *wire.Rumors) *wire.Rumors {
+	m := r.Report(now)
+	if q.GetSuspectsHash() != m.SuspectsHash {
+		m.Suspects = r.Poison.All(now)
+	}
+	return m
 }
 
 // Merge adds what another member knows. It reports whether others should hear of it at once.
