pacer, proxy: which answers begin and end a limit

Found by reading the users' rule again: an upstream may leave its limit out of some answers, the answer of another process at its address (421) isn't its own, and a process that starts again under the same id has named nothing yet. A limit now ends by answers of a second in which it isn't named, other processes' answers don't count, and a restart ends it.

--- a/coord/pacer/pacer.go
+++ b/coord/pacer/pacer.go
@@ -21,6 +21,9 @@
 	// wordTime is how long the word of an upstream counts. Without any request to the upstream nobody
 	// would learn that its limit has ended.
 	wordTime = 10 * time.Second
+	// endDelay is the time after an upstream has named its limit in which an answer without one doesn't
+	// end it: some answers may leave it out.
+	endDelay = time.Second
 	// burst is the size of a bucket, in requests. All shares of a limit may be full at once.
 	burst = 1.0
 	// maxLimits bounds the upstreams whose word is kept.
@@ -59,12 +62,12 @@
 func New(s Share) *Table { return &Table{share: s, words: map[string]*word{}} }
 
 // Hear records what an answer of an upstream says of its limit, 0 for nothing. sentAt is when the request
-// was sent: an answer to one from before the limit was named doesn't end the limit.
+// was sent: an answer to one from before the limit was last named, or just after, doesn't end the limit.
 func (t *Table) Hear(now, sentAt time.Time, instance string, perSecond float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.words[instance]
-	if perSecond <= 0 && (w == nil || w.perSecond <= 0 || !sentAt.After(w.saidAt)) {
+	if perSecond <= 0 && (w == nil || w.perSecond <= 0 || !sentAt.After(w.saidAt.Add(endDelay))) {
 		return
 	}
 	t.set(now, now, instance, perSecond)
--- a/coord/pacer/pacer_test.go
+++ b/coord/pacer/pacer_test.go
@@ -30,6 +30,7 @@
 	}
 	x.Hear(at(1), at(0.9), "u", 2)
 	x.Hear(at(1.1), at(0.8), "u", 0)
+	x.Hear(at(1.2), at(1.1), "u", 0)
 	type result struct {
 		Taken bool
 		Next  time.Time
--- a/entry/proxy/upstate.go
+++ b/entry/proxy/upstate.go
@@ -47,8 +47,10 @@
 		p.mu.Unlock()
 		p.log.WithFields(logrus.Fields{"event": "upstream-paused", "instance": u.Instance, "for-ms": info.Pause.Milliseconds()}).Info("upstream wants no requests for a time")
 	}
-	p.pacer.Hear(time.Now(), sentAt, u.Instance, info.Limit)
-	p.logLimit(u, info.Limit)
+	if !info.WrongInstance {
+		p.pacer.Hear(time.Now(), sentAt, u.Instance, info.Limit)
+		p.logLimit(u, info.Limit)
+	}
 	if info.Leaving {
 		p.announceLeaving(u)
 	}
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -172,6 +172,9 @@
 	if c.Before != nil && !c.Before.Leaving && (c.After == nil || c.After.Born != c.Before.Born) {
 		p.recordGone(*c.Before)
 	}
+	if c.Before != nil && c.After != nil && c.After.Born != c.Before.Born {
+		p.pacer.Forget(c.Before.Instance)
+	}
 	switch {
 	case c.After == nil:
 		p.logUpstream("upstream-gone", c.Before)
