proxy: a restart of an upstream ends its pause

It was kept by id alone, so a process that started again under the id that it had was left alone for up to half a minute, and the answer of another process at its address (421) paused it too. TestRestartEndsPause fails on the code before in both places.

--- a/entry/proxy/upstate.go
+++ b/entry/proxy/upstate.go
@@ -40,7 +40,7 @@
 	if info.Invalid != "" {
 		p.logInvalidHeader(u, info.Invalid)
 	}
-	if info.Pause > 0 {
+	if info.Pause > 0 && !info.WrongInstance {
 		p.metrics.upstreamStates.WithLabelValues("pause").Inc()
 		p.mu.Lock()
 		p.pauses.Ask(time.Now(), u.Instance, info.Pause)
--- a/entry/proxy/upstate_test.go
+++ b/entry/proxy/upstate_test.go
@@ -40,3 +40,23 @@
 		t.Error("the limit outlives the process that named it")
 	}
 }
+
+// TestRestartEndsPause checks that a process which starts again under the same id may be sent to, although
+// its last one had asked for a pause, and that the answer of another process at its address asks for none.
+func TestRestartEndsPause(t *testing.T) {
+	p, u := newObserver()
+	p.observeUpstream(u, calls.ResponseInfo{Pause: time.Minute, WrongInstance: true}, time.Now())
+	if p.isPaused(u.Instance) {
+		t.Error("paused by the answer of another process")
+	}
+	p.observeUpstream(u, calls.ResponseInfo{Pause: time.Minute}, time.Now())
+	if !p.isPaused(u.Instance) {
+		t.Error("not paused by its own answer")
+	}
+	again := u
+	again.Born++
+	p.handleRosterChange(roster.Change{Before: &u, After: &again})
+	if p.isPaused(u.Instance) {
+		t.Error("the pause outlives the process that asked for it")
+	}
+}
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -173,6 +173,7 @@
 		p.recordGone(*c.Before)
 	}
 	if c.Before != nil && c.After != nil && c.After.Born != c.Before.Born {
+		p.pauses.Forget(c.Before.Instance)
 		p.pacer.Forget(c.Before.Instance)
 	}
 	switch {
