upconn, engine: errors of this VM don't mean that an upstream has ended

Found by reading: an entry out of descriptors or ports can't open a connection either, and would have held that against the prompts of all answers that broke off then. Only refusals, resets, timeouts and unreachable hosts count. TestNotListening; the check before took every error.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/upconn"
 	"github.com/rotisserie/eris"
 )
 
@@ -155,7 +156,7 @@
 	}
 	n, err := (&net.Dialer{Timeout: endCheckTimeout}).DialContext(ctx, "tcp", u.Host)
 	if err != nil {
-		return ctx.Err() == nil
+		return upconn.NotListening(err)
 	}
 	_ = n.Close()
 	return false
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -247,7 +247,7 @@
 		}
 	}
 	if err != nil {
-		return ctx.Err() == nil
+		return NotListening(err)
 	}
 	c.expiresAt = time.Now().Add(defaultIdleTimeout)
 	if !p.putIdle(address, c, maxIdle) {
--- a/coord/upconn/upconn_test.go
+++ b/coord/upconn/upconn_test.go
@@ -367,3 +367,15 @@
 		}
 	}
 }
+
+// TestNotListening checks that a process which runs out of descriptors doesn't take upstreams for ended.
+func TestNotListening(t *testing.T) {
+	for e, want := range map[error]bool{
+		syscall.ECONNREFUSED: true, syscall.ETIMEDOUT: true, context.DeadlineExceeded: true,
+		syscall.EMFILE: false, syscall.EADDRNOTAVAIL: false, syscall.ENOBUFS: false, context.Canceled: false,
+	} {
+		if d := cmp.Diff(want, NotListening(&net.OpError{Op: "dial", Err: e})); d != "" {
+			t.Errorf("%v (-want +got):\n%s", e, d)
+		}
+	}
+}
