--- a/coord/poison/exchange.go
+++ b/coord/poison/exchange.go
@@ -63,13 +63,13 @@
 }
 
 // isSuspect reports whether requests with the part are at least not repeated.
-func (e *evidence) isSuspect(now time.Time) bool { return e.ended(now).weight >= suspectEnds }
+func (e *evidence) isSuspect(now time.Time) bool { return e.tally(now).weight >= suspectEnds }
 
 // byWeight returns the parts with evidence, the heaviest first. t.mu must be held.
 func (t *Table) byWeight(now time.Time) (parts []string) {
 	weight := map[string]int{}
 	for p, e := range t.cases {
-		weight[p] = e.ended(now).weight
+		weight[p] = e.tally(now).weight
 		parts = append(parts, p)
 	}
 	slices.SortFunc(parts, func(a, b string) int {
--- a/coord/poison/poison.go
+++ b/coord/poison/poison.go
@@ -70,8 +70,8 @@
 	return now.Sub(endedAt) < evidenceTime && e.soundAt.Before(endedAt)
 }
 
-// ended returns the ends of upstreams that count.
-func (e *evidence) ended(now time.Time) (c charge) {
+// tally returns the ends of upstreams that count.
+func (e *evidence) tally(now time.Time) (c tally) {
 	var times []time.Time
 	for u, t := range e.ends {
 		if e.counts(now, t) {
@@ -93,8 +93,8 @@
 	return c
 }
 
-// charge sums up the evidence against a part.
-type charge struct {
+// tally sums up the evidence against a part.
+type tally struct {
 	upstreams []string
 	// weight is the number of ends, of which those that coincide count less, less what speaks for the
 	// part.
@@ -143,7 +143,7 @@
 		return false
 	}
 	e.changedAt = now
-	return e.ended(now).weight >= suspectEnds
+	return e.tally(now).weight >= suspectEnds
 }
 
 // Answered records that a request with the given parts was answered completely.
@@ -156,7 +156,7 @@
 		if e == nil {
 			continue
 		}
-		if len(e.ended(now).upstreams) > 0 {
+		if len(e.tally(now).upstreams) > 0 {
 			e.changedAt = now
 		}
 		e.soundAt = now
@@ -168,7 +168,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range parts {
-		c := t.held(now, p, parts)
+		c := t.unexplained(now, p, parts)
 		if until := c.last.Add(quarantineTime); c.weight >= quarantineEnds && now.Before(until) {
 			return Quarantine{Part: p, Ends: len(c.upstreams), Until: until}, true
 		}
@@ -181,19 +181,19 @@
 func (t *Table) MayRepeat(now time.Time, parts []string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !slices.ContainsFunc(parts, func(p string) bool { return t.held(now, p, parts).weight >= suspectEnds })
+	return !slices.ContainsFunc(parts, func(p string) bool { return t.unexplained(now, p, parts).weight >= suspectEnds })
 }
 
-// held returns what is held against a part of a request: nothing if another part explains it, that is,
+// unexplained returns what is held against a part of a request: nothing if another part explains it, that is,
 // one that the request lacks and under which all the same upstreams ended. t.mu must be held.
-func (t *Table) held(now time.Time, part string, parts []string) charge {
+func (t *Table) unexplained(now time.Time, part string, parts []string) tally {
 	e := t.cases[part]
 	if e == nil {
-		return charge{}
+		return tally{}
 	}
-	c := e.ended(now)
+	c := e.tally(now)
 	if c.weight < suspectEnds || t.isExplained(now, c.upstreams, parts) {
-		return charge{}
+		return tally{}
 	}
 	return c
 }
@@ -221,7 +221,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for p, e := range t.cases {
-		if c := e.ended(now); c.weight >= quarantineEnds && now.Before(c.last.Add(quarantineTime)) {
+		if c := e.tally(now); c.weight >= quarantineEnds && now.Before(c.last.Add(quarantineTime)) {
 			parts = append(parts, p)
 		}
 	}
@@ -233,7 +233,7 @@
 // held.
 func (t *Table) dropExcess(now time.Time) {
 	maps.DeleteFunc(t.cases, func(_ string, e *evidence) bool {
-		return len(e.ended(now).upstreams) == 0 && now.Sub(e.changedAt) > spreadTime
+		return len(e.tally(now).upstreams) == 0 && now.Sub(e.changedAt) > spreadTime
 	})
 	if len(t.cases) <= maxCases {
 		return
