--- a/coord/upconn/conn.go
+++ b/coord/upconn/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -101,21 +100,6 @@
 	return err == nil && quiet
 }
 
-// NotListening reports whether a connection couldn't be opened because nothing takes connections at the
-// address, not for want of something on this VM, such as descriptors.
-func NotListening(err error) bool {
-	var n net.Error
-	if errors.As(err, &n) && n.Timeout() {
-		return true
-	}
-	for _, e := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EHOSTUNREACH} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
-
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var sockErr error
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -15,7 +15,6 @@
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -234,28 +233,6 @@
 	}
 }
 
-// HasEnded reports whether the process at an address has ended: it is to be called after it has closed a
-// connection, and then takes no new one. A connection that it takes is kept as an idle one, unless maxConns
-// are open.
-func (p *Pool) HasEnded(ctx context.Context, address string, maxConns, maxIdle int) bool {
-	c, err := p.dial(ctx, address, maxConns)
-	if errors.Is(err, ErrMaxConns) {
-		var n net.Conn
-		if n, err = newDialer().DialContext(ctx, "tcp", address); err == nil {
-			_ = n.Close()
-			return false
-		}
-	}
-	if err != nil {
-		return NotListening(err)
-	}
-	c.expiresAt = time.Now().Add(defaultIdleTimeout)
-	if !p.putIdle(address, c, maxIdle) {
-		_ = c.Close()
-	}
-	return false
-}
-
 // Do sends a request to an address and returns the head of its response. Its errors are of
 // type *Error. When the context ends, the connection is closed, also while the body is read.
 func (p *Pool) Do(ctx context.Context, address string, q *Request) (r *Response, err error) {
