--- a/coord/admit/engine.go
+++ b/coord/admit/engine.go
@@ -49,7 +49,7 @@
 	m.deliver(m.ledger.Observe(now, r.Usage))
 }
 
-// isPollDue reports whether the engine should be polled now. While it names a limit, polls are as seldom as
+// isPollDue reports whether the engine should be polled now. While it advertises a limit, polls are as seldom as
 // those of an engine on another VM.
 func (m *Manager) isPollDue() bool {
 	now := time.Now()
@@ -136,7 +136,7 @@
 	if m.settings.Observe != nil {
 		m.settings.Observe(i, sentAt)
 	}
-	m.limits.Hear(time.Now(), sentAt, m.settings.Name, i.Limit)
+	m.limits.Observe(time.Now(), sentAt, m.settings.Name, i.Limit)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.pauses.Ask(time.Now(), m.settings.Name, i.Pause)
--- a/coord/pacer/pacer.go
+++ b/coord/pacer/pacer.go
@@ -1,6 +1,6 @@
-// Package pacer keeps a process to its share of the limits that upstreams name for the whole fleet.
+// Package pacer keeps a process to its share of the limits that upstreams advertise for the whole fleet.
 //
-// It answers an upstream in need that names the requests a second it takes from all processes
+// It answers an upstream that is overloaded and advertises the requests a second it takes from all processes
 // together. Each process sees only what it sends itself, so without a share each would use the whole
 // limit, and the upstream would get as many times that as there are processes. Load and failures
 // don't tell them either: an upstream that is spared looks idle and attracts more.
@@ -18,32 +18,32 @@
 )
 
 const (
-	// wordTime is how long the word of an upstream counts. Without any request to the upstream nobody
+	// advertTTL is how long an upstream's advertisement counts. Without any request to the upstream nobody
 	// would learn that its limit has ended.
-	wordTime = 10 * time.Second
-	// endDelay is the time after an upstream has named its limit in which an answer without one doesn't
+	advertTTL = 10 * time.Second
+	// endDelay is the time after an upstream has advertised its limit in which an answer without one doesn't
 	// end it: some answers may leave it out.
 	endDelay = time.Second
 	// burst is the size of a bucket, in requests. All shares of a limit may be full at once.
 	burst = 1.0
-	// maxLimits bounds the upstreams whose word is kept.
+	// maxLimits bounds the upstreams whose advertisement is kept.
 	maxLimits = 512
 )
 
-// word is what an upstream last said of its limit.
-type word struct {
-	// perSecond is the limit; 0 if it names none any more.
-	perSecond float64
-	saidAt    time.Time
+// advert is the last advertisement of an upstream.
+type advert struct {
+	// perSecond is the limit; 0 if it advertises none any more.
+	perSecond  float64
+	receivedAt time.Time
 	// tokens are in the bucket as of filledAt.
 	tokens   float64
 	filledAt time.Time
 }
 
 // fill adds the tokens of a share since the last call.
-func (w *word) fill(now time.Time, share float64) {
-	w.tokens = min(burst, w.tokens+now.Sub(w.filledAt).Seconds()*w.perSecond*share)
-	w.filledAt = now
+func (a *advert) fill(now time.Time, share float64) {
+	a.tokens = min(burst, a.tokens+now.Sub(a.filledAt).Seconds()*a.perSecond*share)
+	a.filledAt = now
 }
 
 // Share returns the part of an upstream's limit, from 0 to 1, that a process may use.
@@ -54,47 +54,47 @@
 type Table struct {
 	share Share
 
-	mu    sync.Mutex
-	words map[string]*word
+	mu      sync.Mutex
+	adverts map[string]*advert
 }
 
 // New returns an empty table. The share is asked again at each use of a limit.
-func New(s Share) *Table { return &Table{share: s, words: map[string]*word{}} }
+func New(s Share) *Table { return &Table{share: s, adverts: map[string]*advert{}} }
 
-// Hear records what an answer of an upstream says of its limit, 0 for nothing. sentAt is when the request
-// was sent: an answer to one from before the limit was last named, or just after, doesn't end the limit.
-func (t *Table) Hear(now, sentAt time.Time, instance string, perSecond float64) {
+// Observe records what an answer of an upstream says of its limit, 0 for nothing. sentAt is when the request
+// was sent: an answer to one from before the limit was last advertised, or just after, doesn't end the limit.
+func (t *Table) Observe(now, sentAt time.Time, instance string, perSecond float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.words[instance]
-	if perSecond <= 0 && (w == nil || w.perSecond <= 0 || !sentAt.After(w.saidAt.Add(endDelay))) {
+	a := t.adverts[instance]
+	if perSecond <= 0 && (a == nil || a.perSecond <= 0 || !sentAt.After(a.receivedAt.Add(endDelay))) {
 		return
 	}
 	t.set(now, now, instance, perSecond)
 }
 
-// set records the word of an upstream. t.mu must be held.
-func (t *Table) set(now, saidAt time.Time, instance string, perSecond float64) {
-	w := t.words[instance]
-	if w == nil {
-		w = &word{filledAt: now}
-		t.words[instance] = w
+// set records the advertisement of an upstream. t.mu must be held.
+func (t *Table) set(now, receivedAt time.Time, instance string, perSecond float64) {
+	a := t.adverts[instance]
+	if a == nil {
+		a = &advert{filledAt: now}
+		t.adverts[instance] = a
 	}
-	w.perSecond, w.saidAt = perSecond, saidAt
+	a.perSecond, a.receivedAt = perSecond, receivedAt
 	t.dropOld(now)
 }
 
-// dropOld drops the words that no longer count, and the oldest if there are too many. t.mu must be held.
+// dropOld drops the advertisements that no longer count, and the oldest if there are too many. t.mu must be held.
 func (t *Table) dropOld(now time.Time) {
-	maps.DeleteFunc(t.words, func(_ string, w *word) bool { return now.Sub(w.saidAt) >= wordTime })
-	for len(t.words) > maxLimits {
+	maps.DeleteFunc(t.adverts, func(_ string, a *advert) bool { return now.Sub(a.receivedAt) >= advertTTL })
+	for len(t.adverts) > maxLimits {
 		oldest := ""
-		for i, w := range t.words {
-			if oldest == "" || w.saidAt.Before(t.words[oldest].saidAt) {
+		for i, a := range t.adverts {
+			if oldest == "" || a.receivedAt.Before(t.adverts[oldest].receivedAt) {
 				oldest = i
 			}
 		}
-		delete(t.words, oldest)
+		delete(t.adverts, oldest)
 	}
 }
 
@@ -103,15 +103,15 @@
 func (t *Table) Take(now time.Time, instance string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.current(now, instance)
-	if w == nil {
+	a := t.current(now, instance)
+	if a == nil {
 		return true
 	}
-	w.fill(now, t.share(instance, w.perSecond))
-	if w.tokens < 1 {
+	a.fill(now, t.share(instance, a.perSecond))
+	if a.tokens < 1 {
 		return false
 	}
-	w.tokens--
+	a.tokens--
 	return true
 }
 
@@ -119,45 +119,45 @@
 func (t *Table) Next(now time.Time, instance string) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.current(now, instance)
-	if w == nil {
+	a := t.current(now, instance)
+	if a == nil {
 		return now
 	}
-	s := t.share(instance, w.perSecond)
-	w.fill(now, s)
-	if w.tokens >= 1 {
+	s := t.share(instance, a.perSecond)
+	a.fill(now, s)
+	if a.tokens >= 1 {
 		return now
 	}
-	end := w.saidAt.Add(wordTime)
+	end := a.receivedAt.Add(advertTTL)
 	if s <= 0 {
 		return end
 	}
-	next := now.Add(time.Duration((1 - w.tokens) / (w.perSecond * s) * float64(time.Second)))
+	next := now.Add(time.Duration((1 - a.tokens) / (a.perSecond * s) * float64(time.Second)))
 	if next.After(end) {
 		return end
 	}
 	return next
 }
 
-// IsLimited reports whether an instance names a limit at present.
+// IsLimited reports whether an instance advertises a limit at present.
 func (t *Table) IsLimited(now time.Time, instance string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.current(now, instance) != nil
 }
 
-// current returns the word of an instance if that is a limit which still counts. t.mu must be held.
-func (t *Table) current(now time.Time, instance string) *word {
-	w := t.words[instance]
-	if w == nil || w.perSecond <= 0 || now.Sub(w.saidAt) >= wordTime {
+// current returns the advertisement of an instance if that is a limit which still counts. t.mu must be held.
+func (t *Table) current(now time.Time, instance string) *advert {
+	a := t.adverts[instance]
+	if a == nil || a.perSecond <= 0 || now.Sub(a.receivedAt) >= advertTTL {
 		return nil
 	}
-	return w
+	return a
 }
 
 // Forget drops the limit of an instance that is gone.
 func (t *Table) Forget(instance string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.words, instance)
+	delete(t.adverts, instance)
 }
--- a/coord/pacer/pacer_test.go
+++ b/coord/pacer/pacer_test.go
@@ -28,9 +28,9 @@
 	if !x.Take(at(0), "u") {
 		t.Error("no token without a limit")
 	}
-	x.Hear(at(1), at(0.9), "u", 2)
-	x.Hear(at(1.1), at(0.8), "u", 0)
-	x.Hear(at(1.2), at(1.1), "u", 0)
+	x.Observe(at(1), at(0.9), "u", 2)
+	x.Observe(at(1.1), at(0.8), "u", 0)
+	x.Observe(at(1.2), at(1.1), "u", 0)
 	type result struct {
 		Taken bool
 		Next  time.Time
@@ -50,7 +50,7 @@
 			t.Errorf("after %g s (-want +got):\n%s", c.seconds, d)
 		}
 	}
-	x.Hear(at(6), at(5.9), "u", 0)
+	x.Observe(at(6), at(5.9), "u", 0)
 	for range 2 {
 		if !x.Take(at(6), "u") {
 			t.Error("no token after the limit has ended")
@@ -58,29 +58,29 @@
 	}
 }
 
-// TestWordLapses checks that an upstream that nobody hears from any more is used again, also by a process
+// TestAdvertisementLapses checks that an upstream that nobody hears from any more is used again, also by a process
 // that has no share.
-func TestWordLapses(t *testing.T) {
+func TestAdvertisementLapses(t *testing.T) {
 	x := New(NoShare)
-	x.Hear(at(0), at(0), "u", 2)
-	if d := cmp.Diff(at(0).Add(wordTime), x.Next(at(3), "u")); d != "" {
+	x.Observe(at(0), at(0), "u", 2)
+	if d := cmp.Diff(at(0).Add(advertTTL), x.Next(at(3), "u")); d != "" {
 		t.Errorf("next request (-want +got):\n%s", d)
 	}
-	if x.Take(at(3), "u") || !x.Take(at(0).Add(wordTime), "u") {
+	if x.Take(at(3), "u") || !x.Take(at(0).Add(advertTTL), "u") {
 		t.Error("the limit holds too short or too long")
 	}
-	x.Hear(at(20), at(20), "u", 2)
+	x.Observe(at(20), at(20), "u", 2)
 	x.Forget("u")
 	if !x.Take(at(20), "u") {
 		t.Error("the limit outlives its upstream")
 	}
 }
 
-// TestWordsArePassedOn checks that the newest word of an upstream wins at all processes, that copies of it
+// TestAdvertisementsArePassedOn checks that the newest advertisement of an upstream wins at all processes, that copies of it
 // don't renew it, and that senseless ones are dropped.
-func TestWordsArePassedOn(t *testing.T) {
+func TestAdvertisementsArePassedOn(t *testing.T) {
 	a, b := New(NoShare), New(NoShare)
-	a.Hear(at(0), at(0), "u", 2)
+	a.Observe(at(0), at(0), "u", 2)
 	for i := range 200 {
 		now := at(float64(i) / 10)
 		b.Merge(now.Add(time.Millisecond), a.Report(now))
@@ -90,25 +90,25 @@
 		}
 	}
 	if a.IsLimited(at(21), "u") || b.IsLimited(at(21), "u") {
-		t.Error("two processes keep an old word alive")
+		t.Error("two processes keep an old advertisement alive")
 	}
-	a.Hear(at(30), at(30), "u", 2)
+	a.Observe(at(30), at(30), "u", 2)
 	b.Merge(at(31), a.Report(at(31)))
-	a.Hear(at(32), at(31.5), "u", 0)
+	a.Observe(at(32), at(31.5), "u", 0)
 	b.Merge(at(33), a.Report(at(33)))
 	if b.IsLimited(at(33), "u") {
 		t.Error("the end of the limit was not passed on")
 	}
-	b.Merge(at(33), []*wire.NamedLimit{{Instance: "", PerSecond: 1}, {Instance: "v", PerSecond: -1}, {Instance: "w", PerSecond: math.NaN()}, {Instance: "x", PerSecond: 1, AgeMicros: -5}, {Instance: "y", PerSecond: 1, AgeMicros: 1 << 60}})
+	b.Merge(at(33), []*wire.AdvertisedLimit{{Instance: "", PerSecond: 1}, {Instance: "v", PerSecond: -1}, {Instance: "w", PerSecond: math.NaN()}, {Instance: "x", PerSecond: 1, AgeMicros: -5}, {Instance: "y", PerSecond: 1, AgeMicros: 1 << 60}})
 	for _, i := range []string{"", "v", "w", "x", "y"} {
 		if b.IsLimited(at(33), i) {
-			t.Errorf("%q is limited by a senseless word", i)
+			t.Errorf("%q is limited by a senseless advertisement", i)
 		}
 	}
 	for i := range 2 * maxLimits {
-		b.Hear(at(34), at(34), fmt.Sprint(i), 1)
+		b.Observe(at(34), at(34), fmt.Sprint(i), 1)
 	}
-	if n := len(b.words); n > maxLimits {
+	if n := len(b.adverts); n > maxLimits {
 		t.Errorf("%d limits are kept, want at most %d", n, maxLimits)
 	}
 	if n := len(b.Report(at(34))); n > maxReported {
@@ -124,7 +124,7 @@
 	missing map[string]bool
 }
 
-// TestSharesKeepLimit replays an upstream in need that all processes of a fleet press to the utmost: idle
+// TestSharesKeepLimit replays an overloaded upstream that all processes of a fleet press to the utmost: idle
 // for a while, then all at once, with views of the members that differ. Over each 4 s the upstream must get no
 // more than one and a half times its limit and 5 requests, and, where the limit is shared out whole, at least
 // eight tenths of the limit in the long run.
@@ -174,7 +174,7 @@
 	idle := time.Duration(r.IntN(5)) * time.Second
 	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(20 * time.Millisecond) {
 		for _, i := range r.Perm(n) {
-			l[i].table.Hear(now, now, "u", limit)
+			l[i].table.Observe(now, now, "u", limit)
 			if !now.Before(start.Add(idle)) && l[i].table.Take(now, "u") {
 				sent = append(sent, now)
 			}
--- a/entry/proxy/upstate.go
+++ b/entry/proxy/upstate.go
@@ -48,7 +48,7 @@
 		p.log.WithFields(logrus.Fields{"event": "upstream-paused", "instance": u.Instance, "for-ms": info.Pause.Milliseconds()}).Info("upstream wants no requests for a time")
 	}
 	if !info.WrongInstance {
-		p.pacer.Hear(time.Now(), sentAt, u.Instance, info.Limit)
+		p.pacer.Observe(time.Now(), sentAt, u.Instance, info.Limit)
 		p.logLimit(u, info.Limit)
 	}
 	if info.Leaving {
@@ -70,7 +70,7 @@
 	}
 	p.mu.Unlock()
 	if isNews {
-		p.log.WithFields(logrus.Fields{"event": "upstream-limited", "instance": u.Instance, "per-second": limit, "before": before}).Info("upstream names a limit for all entries together")
+		p.log.WithFields(logrus.Fields{"event": "upstream-limited", "instance": u.Instance, "per-second": limit, "before": before}).Info("upstream advertises a limit for all entries together")
 	}
 }
 
--- a/entry/proxy/upstate_test.go
+++ b/entry/proxy/upstate_test.go
@@ -21,7 +21,7 @@
 }
 
 // TestRestartEndsLimit checks that a process which starts again under the same id isn't held to the limit
-// that its last one named, and that the answer of another process at its address names none for it.
+// that its last one named, and that the answer of another process at its address advertises none for it.
 func TestRestartEndsLimit(t *testing.T) {
 	p, u := newObserver()
 	now := time.Now()
