proxy: requests have a fingerprint in the logs; upstream-ended comes for all requests

For hypotheses 1 to 3 of docs/incidents/2026-12-requests-that-crash-upstreams.md: the log could not say whether two requests under which upstreams ended were the same, nor that a plain upstream ended at all. No decision changes.

--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -30,6 +30,9 @@
 	service  *rules.Service
 	path     string
 	body     []byte
+	// fingerprint identifies the request among all that callers send; see poison.Fingerprint. It is empty
+	// until the body was read.
+	fingerprint string
 	// workspace is nil if no key was authenticated, which is only accepted on public routes and
 	// if the configuration requires no keys.
 	workspace *rules.Workspace
@@ -200,6 +203,9 @@
 			f[k] = v.Milliseconds()
 		}
 	}
+	if r.outcome != outcomeAnswered && x.fingerprint != "" {
+		f["fingerprint"] = x.fingerprint
+	}
 	if r.localPrefill {
 		f["own-read"] = true
 	}
--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -45,7 +45,6 @@
 	r := x.record
 	isGood := r.status < http.StatusMultipleChoices
 	switch {
-	case len(x.call.PromptParts) == 0:
 	case r.end == frame.Complete && r.framing != frame.Connection && isGood:
 		p.poison.Answered(time.Now(), x.call.PromptParts)
 	case r.end == frame.Complete && isGood:
@@ -60,6 +59,18 @@
 	}
 }
 
+// learnFromError takes evidence against a request from a send that got no answer. For a request without parts of a
+// prompt that is only logged, so the request doesn't wait for it.
+func (p *Proxy) learnFromError(x *exchange, u roster.Upstream, err error) {
+	switch {
+	case !maybeSent(err) || !isBrokenOff(err):
+	case len(x.call.PromptParts) == 0:
+		p.tasks.Go(func() { p.checkEnded(x, u) })
+	default:
+		p.checkEnded(x, u)
+	}
+}
+
 // isBrokenOff reports whether a send failed because the upstream closed or reset the connection.
 func isBrokenOff(err error) bool {
 	for _, e := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
@@ -74,12 +85,9 @@
 // records that. A connection may also be reset on its way, or by an upstream that goes on; if the upstream
 // takes connections, the request is remembered in case that it turns out to be a new process.
 func (p *Proxy) checkEnded(x *exchange, u roster.Upstream) (ended bool) {
-	if len(x.call.PromptParts) == 0 {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(p.ctx, endCheckTimeout)
 	defer cancel()
-	b := brokenOff{at: time.Now(), upstream: u, request: x.call.ID, parts: x.call.PromptParts}
+	b := brokenOff{at: time.Now(), upstream: u, request: x.call.ID, fingerprint: x.fingerprint, parts: x.call.PromptParts}
 	if p.conns.HasEnded(ctx, u.Address, x.service.MaxConnections, p.maxIdleConns(x.service)) {
 		p.recordEnded(b)
 		return true
@@ -98,7 +106,9 @@
 	at       time.Time
 	upstream roster.Upstream
 	request  string
-	parts    []string
+	// fingerprint identifies the request among all that callers send.
+	fingerprint string
+	parts       []string
 }
 
 // recordGone records that an upstream has ended under the requests that had just broken off there: it is gone
@@ -117,7 +127,8 @@
 func (p *Proxy) recordEnded(b brokenOff) {
 	p.metrics.upstreamsEnded.Inc()
 	p.log.WithFields(logrus.Fields{
-		"event": "upstream-ended", "instance": b.upstream.Instance, "address": b.upstream.Address, "request": b.request, "parts": b.parts,
+		"event": "upstream-ended", "instance": b.upstream.Instance, "address": b.upstream.Address, "request": b.request, "fingerprint": b.fingerprint,
+		"parts": b.parts,
 	}).Warn("upstream ended under a request")
 	if p.poison.Ended(b.at, fmt.Sprintf("%s/%d", b.upstream.Instance, b.upstream.Born), b.parts) {
 		p.log.WithFields(logrus.Fields{"event": "parts-suspect", "quarantined": p.poison.Quarantined(b.at)}).Warn("several upstreams have ended under a part of prompts")
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -71,9 +71,7 @@
 	})
 	if err != nil {
 		p.recordResult(x, u, sendErrorResult(x, err), nil, purpose)
-		if maybeSent(err) && isBrokenOff(err) {
-			p.checkEnded(x, u)
-		}
+		p.learnFromError(x, u, err)
 		return nil, calls.ResponseInfo{}, err
 	}
 	info := p.codec.ResponseInfo(resp.Status, resp.Header)
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -14,6 +14,7 @@
 	"cranberrypoint.example/coord/budget"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
 )
@@ -171,6 +172,7 @@
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	x.body = b
+	x.fingerprint = poison.Fingerprint(x.workspaceName(), x.r.Method, hostWithoutPort(x.r.Host), x.r.RequestURI, b)
 	return nil
 }
 
