poison, proxy: a request that crashes upstreams is quarantined

Cause: evidence was held only against parts of prompts; a plain request has none, so nothing connected the ends with the request. Ruled out: overload (sound fingerprints don't come twice at the ends; upstreams stay up in the same load once the request is refused).

Change: each request has a key of its own, by a fingerprint of workspace, method, host, target and body, beside the keys of its prompt's parts. Every end counts for a request, also within 200 ms. The end of an upstream that was leaving no longer counts, and a request waits at most 100 ms for the check whether its upstream has ended, before it is repeated.

--- a/coord/fault/fault.go
+++ b/coord/fault/fault.go
@@ -55,8 +55,10 @@
 	// Cancelled means that the caller has gone or that this attempt was cancelled. An entry
 	// may make several attempts at a request, at different agents.
 	Cancelled Code = "cancelled"
-	// Quarantined means that upstreams have crashed under requests with a part of the same prompt.
-	Quarantined Code = "prompt_quarantined"
+	// PromptQuarantined means that upstreams have crashed under requests with a part of the same prompt.
+	PromptQuarantined Code = "prompt_quarantined"
+	// RequestQuarantined means that upstreams have crashed under the same request.
+	RequestQuarantined Code = "request_quarantined"
 	// NotReady means that the process can't serve requests yet or for now.
 	NotReady Code = "not_ready"
 )
--- a/coord/poison/exchange.go
+++ b/coord/poison/exchange.go
@@ -13,48 +13,48 @@
 const (
 	// spreadTime is how long evidence is passed on after its last change.
 	spreadTime = 10 * time.Second
-	// maxReported bounds the parts in one message, so that the size of an exchange stays bounded.
+	// maxReported bounds the keys in one message, so that the size of an exchange stays bounded.
 	maxReported = 24
 )
 
-// Recent returns the evidence that has changed lately, for other processes: the parts with the most ends
+// Recent returns the evidence that has changed lately, for other processes: the keys with the most ends
 // first, then the newest.
 func (t *Table) Recent(now time.Time) []*wire.Suspect {
 	return t.report(now, func(e *evidence) bool { return now.Sub(e.changedAt) <= spreadTime })
 }
 
 // All returns the evidence for a process that has other evidence; see Hash. Besides what is recent, it has all
-// suspect parts.
+// suspect keys.
 func (t *Table) All(now time.Time) []*wire.Suspect {
 	return t.report(now, func(e *evidence) bool { return now.Sub(e.changedAt) <= spreadTime || e.isSuspect(now) })
 }
 
-// report returns the evidence that is chosen, at most maxReported parts.
+// report returns the evidence that is chosen, at most maxReported keys.
 func (t *Table) report(now time.Time, choose func(*evidence) bool) (l []*wire.Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropExcess(now)
-	for _, p := range t.byWeight(now) {
-		if e := t.cases[p]; choose(e) && len(l) < maxReported {
-			l = append(l, e.encode(now, p))
+	for _, k := range t.byWeight(now, choose) {
+		if len(l) < maxReported {
+			l = append(l, t.cases[k].encode(now))
 		}
 	}
 	return l
 }
 
-// Hash identifies the suspect parts and the ends of upstreams under them. Processes with the same hash need
+// Hash identifies the suspect keys and the ends of upstreams under them. Processes with the same hash need
 // not exchange them again.
 func (t *Table) Hash(now time.Time) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := xxhash.New()
-	for _, p := range slices.Sorted(maps.Keys(t.cases)) {
-		e := t.cases[p]
+	for _, k := range slices.Sorted(maps.Keys(t.cases)) {
+		e := t.cases[k]
 		if !e.isSuspect(now) {
 			continue
 		}
 		// Writes to a hash never fail.
-		_, _ = h.WriteString(p + "\n")
+		_, _ = h.WriteString(string(k) + "\n")
 		for _, u := range slices.Sorted(maps.Keys(e.ends)) {
 			_, _ = h.WriteString(u + "\n")
 		}
@@ -62,24 +62,28 @@
 	return h.Sum64()
 }
 
-// isSuspect reports whether requests with the part are at least not repeated.
-func (e *evidence) isSuspect(now time.Time) bool { return e.tally(now).weight >= suspectEnds }
+// isSuspect reports whether requests with the key are at least not repeated.
+func (e *evidence) isSuspect(now time.Time) bool {
+	return len(e.ends) >= suspectEnds && e.tally(now).weight >= suspectEnds
+}
 
-// byWeight returns the parts with evidence, the heaviest first. t.mu must be held.
-func (t *Table) byWeight(now time.Time) (parts []string) {
-	weight := map[string]int{}
-	for p, e := range t.cases {
-		weight[p] = e.tally(now).weight
-		parts = append(parts, p)
+// byWeight returns the keys whose evidence is chosen, the heaviest first. t.mu must be held.
+func (t *Table) byWeight(now time.Time, choose func(*evidence) bool) (keys []Key) {
+	weight := map[Key]int{}
+	for k, e := range t.cases {
+		if choose(e) {
+			weight[k] = e.tally(now).weight
+			keys = append(keys, k)
+		}
 	}
-	slices.SortFunc(parts, func(a, b string) int {
+	slices.SortFunc(keys, func(a, b Key) int {
 		return cmp.Or(cmp.Compare(weight[b], weight[a]), t.cases[b].changedAt.Compare(t.cases[a].changedAt), cmp.Compare(a, b))
 	})
-	return parts
+	return keys
 }
 
-func (e *evidence) encode(now time.Time, part string) *wire.Suspect {
-	s := &wire.Suspect{Part: part}
+func (e *evidence) encode(now time.Time) *wire.Suspect {
+	s := &wire.Suspect{Part: string(e.key)}
 	for u, at := range e.ends {
 		s.Ends = append(s.Ends, &wire.UpstreamEnd{Upstream: u, AgeMicros: now.Sub(at).Microseconds()})
 	}
@@ -95,9 +99,9 @@
 	defer t.mu.Unlock()
 	for _, s := range l {
 		for _, x := range s.Ends {
-			urgent = t.add(now, s.Part, x.Upstream, before(now, x.AgeMicros)) || urgent
+			urgent = t.add(now, Key(s.Part), x.Upstream, before(now, x.AgeMicros)) || urgent
 		}
-		e := t.cases[s.Part]
+		e := t.cases[Key(s.Part)]
 		if e == nil || !s.Sound {
 			continue
 		}
--- a/coord/poison/fleet_test.go
+++ b/coord/poison/fleet_test.go
@@ -25,6 +25,9 @@
 	crashes  []time.Time
 	// poisonSent holds when requests with the part that crashes upstreams were sent.
 	poisonSent []time.Time
+	load       load
+	// requests counts the requests, so that each can be told from the others.
+	requests int
 	// refused and sent count the sound requests after the last relevant crash and a margin.
 	refused, sent int
 }
@@ -32,9 +35,11 @@
 // run is a request that an upstream answers.
 type run struct {
 	entry, upstream int
-	parts           []string
+	keys            []poison.Key
 	isPoison        bool
-	endsAt          time.Time
+	// attempts is the number of upstreams that the entry has sent the request to.
+	attempts int
+	endsAt   time.Time
 }
 
 const (
@@ -45,6 +50,8 @@
 	fleetContactTime = 3 * time.Second
 	// crashesToJudge is the number of crashes from which on a replay is judged.
 	crashesToJudge = 3
+	// fleetAttempts is the number of upstreams to which an entry sends a request.
+	fleetAttempts = 2
 )
 
 // fleetSize is the size of a fleet, and its sound load in requests a second.
@@ -70,9 +77,13 @@
 
 // send sends a request from a random entry to a random upstream that is up. It reports whether the
 // entry refused it.
-func (f *fleet) send(parts []string, isPoison bool) (refused bool) {
-	e := f.rand.IntN(f.size.entries)
-	if _, ok := f.members[e].Check(f.now, parts); ok {
+func (f *fleet) send(keys []poison.Key, isPoison bool) (refused bool) {
+	return f.sendFrom(f.rand.IntN(f.size.entries), keys, isPoison, 1)
+}
+
+// sendFrom sends a request from an entry.
+func (f *fleet) sendFrom(e int, keys []poison.Key, isPoison bool, attempt int) (refused bool) {
+	if _, ok := f.members[e].Check(f.now, keys); ok {
 		return true
 	}
 	var up []int
@@ -84,7 +95,7 @@
 	if len(up) == 0 {
 		return false
 	}
-	r := run{entry: e, upstream: up[f.rand.IntN(len(up))], parts: parts, isPoison: isPoison, endsAt: f.now.Add(f.size.runTime)}
+	r := run{entry: e, upstream: up[f.rand.IntN(len(up))], keys: keys, isPoison: isPoison, attempts: attempt, endsAt: f.now.Add(f.size.runTime)}
 	if isPoison {
 		r.endsAt = f.now.Add(fleetPoisonTime)
 		f.poisonSent = append(f.poisonSent, f.now)
@@ -99,17 +110,23 @@
 	f.starts[upstream]++
 	f.startsAt[upstream] = f.now.Add(fleetRestart)
 	f.crashes = append(f.crashes, f.now)
-	left := f.running[:0]
+	var left, lost []run
 	for _, r := range f.running {
 		if r.upstream != upstream {
 			left = append(left, r)
 			continue
 		}
-		if f.members[r.entry].Ended(f.now, name, r.parts) {
+		lost = append(lost, r)
+		if f.members[r.entry].Ended(f.now, name, r.keys) {
 			f.gossip(r.entry)
 		}
 	}
 	f.running = left
+	for _, r := range lost {
+		if r.attempts < fleetAttempts && f.members[r.entry].MayRepeat(f.now, r.keys) {
+			f.sendFrom(r.entry, r.keys, r.isPoison, r.attempts+1)
+		}
+	}
 }
 
 // finish ends the requests whose time has come.
@@ -121,7 +138,7 @@
 			crashed[r.upstream] = true
 		}
 		if !r.isPoison && !f.now.Before(r.endsAt) {
-			f.members[r.entry].Answered(f.now, r.parts)
+			f.members[r.entry].Answered(f.now, r.keys)
 			continue
 		}
 		left = append(left, r)
@@ -146,14 +163,50 @@
 }
 
 // play runs the fleet for a time, with poison messages at a rate, in requests a second.
-func (f *fleet) play(d time.Duration, poisonRate float64) {
+func (f *fleet) play(d time.Duration, poisonRate float64) { f.playLoad(d, poisonRate, partLoad) }
+
+// load makes the keys of the n-th request.
+type load struct {
+	poison, sound func(f *fleet, n int) []poison.Key
+	// crashesAllowed is the number of crashes after which the poison messages must stop.
+	crashesAllowed int
+}
+
+// partLoad are requests of which no two are alike, and poison messages with one part in common. The requests of a
+// session share a part.
+var partLoad = load{
+	func(f *fleet, n int) []poison.Key {
+		return []poison.Key{poison.RequestKey(fmt.Sprintf("p%d", n)), "first", "bad", poison.Key(fmt.Sprintf("poison%d", f.rand.IntN(1000)))}
+	},
+	func(f *fleet, n int) []poison.Key {
+		return []poison.Key{poison.RequestKey(fmt.Sprintf("s%d", n)), "first", poison.Key(fmt.Sprintf("session%d", f.rand.IntN(f.size.sessions())))}
+	},
+	5,
+}
+
+// requestLoad is one poison message that comes again, and sound requests of which a tenth are alike.
+var requestLoad = load{
+	func(*fleet, int) []poison.Key { return []poison.Key{poison.RequestKey("bad")} },
+	func(f *fleet, n int) []poison.Key {
+		if f.rand.IntN(10) == 0 {
+			return []poison.Key{poison.RequestKey(fmt.Sprintf("polled%d", f.rand.IntN(5)))}
+		}
+		return []poison.Key{poison.RequestKey(fmt.Sprintf("s%d", n))}
+	},
+	3,
+}
+
+// playLoad is play with a load.
+func (f *fleet) playLoad(d time.Duration, poisonRate float64, l load) {
+	f.load = l
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(fleetTick) {
+		f.requests++
 		if f.rand.Float64() < poisonRate*fleetTick.Seconds() {
-			f.send([]string{"first", "bad", fmt.Sprintf("poison%d", f.rand.IntN(1000))}, true)
+			f.send(l.poison(f, f.requests), true)
 		}
 		if f.rand.Float64() < f.size.rate*fleetTick.Seconds() {
-			refused := f.send([]string{"first", fmt.Sprintf("session%d", f.rand.IntN(f.size.sessions()))}, false)
-			if len(f.crashes) > 0 && f.now.Sub(f.crashes[min(len(f.crashes), 5)-1]) > 2*fleetContactTime {
+			refused := f.send(l.sound(f, f.requests), false)
+			if len(f.crashes) > 0 && f.now.Sub(f.crashes[min(len(f.crashes), l.crashesAllowed)-1]) > 2*fleetContactTime {
 				f.sent++
 				if refused {
 					f.refused++
@@ -169,13 +222,13 @@
 	}
 }
 
-// check checks what the fleet sent after the fifth crash.
+// check checks what the fleet sent after the crashes that are allowed.
 func (f *fleet) check(name string) {
 	f.t.Helper()
 	if len(f.crashes) < crashesToJudge {
 		return
 	}
-	last := f.crashes[min(len(f.crashes), 5)-1].Add(fleetContactTime)
+	last := f.crashes[min(len(f.crashes), f.load.crashesAllowed)-1].Add(fleetContactTime)
 	late := 0
 	for _, s := range f.poisonSent {
 		if s.After(last) {
@@ -183,7 +236,7 @@
 		}
 	}
 	if late > 3 {
-		f.t.Errorf("%s: %d poison messages were sent after the fifth crash and %s, %d upstreams crashed; want at most 3", name, late, fleetContactTime, len(f.crashes))
+		f.t.Errorf("%s: %d poison messages were sent after crash %d and %s, %d upstreams crashed; want at most 3", name, late, f.load.crashesAllowed, fleetContactTime, len(f.crashes))
 	}
 	if f.refused*10 > f.sent {
 		f.t.Errorf("%s: %d of %d sound requests were refused, want at most a tenth", name, f.refused, f.sent)
@@ -208,24 +261,47 @@
 	}
 }
 
+// TestPoisonRequestStops replays one request that comes again and crashes each upstream, at fleets of several sizes,
+// beside sound requests some of which come again too.
+func TestPoisonRequestStops(t *testing.T) {
+	for _, size := range []fleetSize{
+		{3, 0, 4, 20, 100 * time.Millisecond}, {5, 8, 4, 100, 20 * time.Millisecond}, {24, 17, 4, 200, 30 * time.Millisecond},
+		{60, 30, 12, 300, 100 * time.Millisecond}, {5, 8, 8, 20, 3 * time.Second},
+	} {
+		for seed := range uint64(fake.Checks(3)) {
+			for _, calm := range []time.Duration{0, 10 * time.Second} {
+				f := newFleet(t, seed, size)
+				f.playLoad(calm, 0, requestLoad)
+				f.playLoad(20*time.Second, 0.3+15*f.rand.Float64()*f.rand.Float64(), requestLoad)
+				f.check(fmt.Sprintf("%+v, seed %d, %s calm", size, seed, calm))
+			}
+		}
+	}
+}
+
 // TestCrashesWithoutPoisonQuarantineNothing replays upstreams that crash for reasons of their own, several at
 // once and in series, under requests of sessions that return.
 func TestCrashesWithoutPoisonQuarantineNothing(t *testing.T) {
-	refused, sent := 0, 0
-	for seed := range uint64(fake.Checks(20)) {
-		f := newFleet(t, seed, fleetSize{5, 8, 8, 30, time.Second})
-		f.play(2*time.Second, 0)
-		for range 6 {
-			for u := range f.startsAt {
-				if f.rand.Float64() < 0.6 && !f.now.Before(f.startsAt[u]) {
-					f.crash(u)
+	for _, c := range []struct {
+		name string
+		load load
+	}{{"parts", partLoad}, {"requests", requestLoad}} {
+		refused, sent := 0, 0
+		for seed := range uint64(fake.Checks(20)) {
+			f := newFleet(t, seed, fleetSize{5, 8, 8, 30, time.Second})
+			f.playLoad(2*time.Second, 0, c.load)
+			for range 6 {
+				for u := range f.startsAt {
+					if f.rand.Float64() < 0.6 && !f.now.Before(f.startsAt[u]) {
+						f.crash(u)
+					}
 				}
+				f.playLoad(4*time.Second, 0, c.load)
 			}
-			f.play(4*time.Second, 0)
+			refused, sent = refused+f.refused, sent+f.sent
+		}
+		if refused*200 > sent {
+			t.Errorf("%s: %d of %d requests were refused, want at most one in 200", c.name, refused, sent)
 		}
-		refused, sent = refused+f.refused, sent+f.sent
-	}
-	if refused*200 > sent {
-		t.Errorf("%d of %d requests were refused, want at most one in 200", refused, sent)
 	}
 }
--- a/coord/poison/poison.go
+++ b/coord/poison/poison.go
@@ -1,15 +1,17 @@
-// Package poison recognizes the parts of prompts that crash upstreams, and quarantines them.
+// Package poison recognizes requests, and parts of prompts, that crash upstreams, and quarantines them.
 //
-// It answers a load of poison messages: requests that have one part of their prompts in common come
-// at any entry, each of them new, and each crashes the upstream that begins to answer it. An entry
-// that sees a single crash can't tell them from the requests that merely ran beside them, and sends
-// the next one to the next upstream. Upstreams then crash faster than they restart, and all other
-// requests go down with them.
+// It answers two loads of poison messages. One request comes again and again at any entry, and crashes
+// the upstream that begins to run it. Or requests that have one part of their prompts in common come at
+// any entry, each of them new, and each crashes the upstream that begins to answer it. An entry that sees
+// a single crash can't tell them from the requests that merely ran beside them, and sends the next one
+// to the next upstream. Upstreams then crash faster than they restart, and all other requests go down
+// with them.
 //
-// A Table collects which upstreams ended under requests with a part, and which parts were answered.
-// A part is quarantined once several upstreams have ended under it and none of its requests was
-// answered. What ran beside a poison message shares its crashes, but not all of them: a part isn't
-// held against a request that lacks another part under which the same upstreams ended.
+// What may be at fault has a Key: a request has one for itself, and one for each part of its prompt that
+// others may share. A Table collects which upstreams ended under requests with a key, and which keys were
+// answered. A key is quarantined once several upstreams have ended under it and none of its requests was
+// answered. What ran beside a poison message shares its crashes, but not all of them: a key isn't held
+// against a request that lacks another key under which the same upstreams ended.
 //
 // Processes exchange their evidence. A Table is safe for concurrent use and does no I/O; the caller
 // passes the time.
@@ -20,19 +22,22 @@
 	"slices"
 	"sync"
 	"time"
+
+	"cranberrypoint.example/coord/fault"
 )
 
 const (
-	// quarantineEnds is the number of upstreams that must have ended under a part. Two may be a
+	// quarantineEnds is the number of upstreams that must have ended under a key. Two may be a
 	// coincidence.
 	quarantineEnds = 3
-	// coincidence is the time within which upstreams that end count as one, or as half of them if that
-	// is more: a failure that takes several with it at once is seldom the work of requests.
+	// coincidence is the time within which upstreams that end under a part count as one, or as half of them
+	// if that is more: requests with the part run at many upstreams, and a failure that takes several with
+	// it at once is seldom their work. A single request runs at one after the other, so each end counts.
 	coincidence    = 200 * time.Millisecond
 	coincidentEnds = 2
-	// suspectEnds is the number from which on requests with the part aren't repeated.
+	// suspectEnds is the number from which on requests with the key aren't repeated.
 	suspectEnds = 2
-	// soundTime is how long a complete answer to a request with a part speaks for the part. If upstreams
+	// soundTime is how long a complete answer to a request with a key speaks for the key. If upstreams
 	// begin to end within that time, soundEnds more of them are needed.
 	soundTime = time.Minute
 	soundEnds = 2
@@ -41,25 +46,35 @@
 	// evidenceTime is how long the end of an upstream counts. It is longer than quarantineTime, so that
 	// one further end renews a quarantine.
 	evidenceTime = time.Hour
-	// maxCases bounds the parts with evidence against them, maxEnds the ends that are kept for one.
+	// maxCases bounds the keys with evidence against them, maxEnds the ends that are kept for one.
 	maxCases = 512
 	maxEnds  = 32
 )
 
 // Quarantine is the reason for which a request is not sent.
 type Quarantine struct {
-	Part string
-	// Ends is the number of upstreams that have ended under the part.
+	Key Key
+	// Ends is the number of upstreams that have ended under the key.
 	Ends int
 	// Until is when the quarantine ends if no further upstream ends.
 	Until time.Time
 }
 
-// evidence is what is known of one part under which an upstream has ended.
+// Fault returns the refusal of the request.
+func (q Quarantine) Fault() *fault.Error {
+	c := fault.PromptQuarantined
+	if q.Key.isRequest() {
+		c = fault.RequestQuarantined
+	}
+	return fault.NotRun(c, "%d upstreams have crashed under %s", q.Ends, q.Key).WithRetryAt(q.Until)
+}
+
+// evidence is what is known of one key under which an upstream has ended.
 type evidence struct {
+	key Key
 	// ends holds when upstreams ended, by the id of the upstream's process.
 	ends map[string]time.Time
-	// soundAt is when a request with the part was last answered; zero for never.
+	// soundAt is when a request with the key was last answered; zero for never.
 	soundAt time.Time
 	// changedAt is when something was last added.
 	changedAt time.Time
@@ -70,6 +85,16 @@
 	return now.Sub(endedAt) < evidenceTime && e.soundAt.Before(endedAt)
 }
 
+// hasEnds reports whether an end of an upstream counts.
+func (e *evidence) hasEnds(now time.Time) bool {
+	for _, at := range e.ends {
+		if e.counts(now, at) {
+			return true
+		}
+	}
+	return false
+}
+
 // tally returns the ends of upstreams that count.
 func (e *evidence) tally(now time.Time) (c tally) {
 	var times []time.Time
@@ -81,7 +106,7 @@
 	}
 	slices.SortFunc(times, time.Time.Compare)
 	for _, t := range times {
-		if t.Sub(c.last) >= coincidence {
+		if t.Sub(c.last) >= e.key.coincidence() {
 			c.weight++
 			c.last = t
 		}
@@ -93,45 +118,45 @@
 	return c
 }
 
-// tally sums up the evidence against a part.
+// tally sums up the evidence against a key.
 type tally struct {
 	upstreams []string
 	// weight is the number of ends, of which those that coincide count less, less what speaks for the
-	// part.
+	// key.
 	weight int
 	// last is the time of the last end, or of the first that coincides with it.
 	last time.Time
 }
 
-// Table holds the evidence against parts of prompts. Use New.
+// Table holds the evidence against keys. Use New.
 type Table struct {
 	mu    sync.Mutex
-	cases map[string]*evidence
+	cases map[Key]*evidence
 	sound *answered
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{cases: map[string]*evidence{}, sound: newAnswered()} }
+func New() *Table { return &Table{cases: map[Key]*evidence{}, sound: newAnswered()} }
 
 // Ended records that an upstream, identified by its process, ended under a request with the given
-// parts. It reports whether processes should hear of it soon: a part is suspect or quarantined.
-func (t *Table) Ended(now time.Time, upstream string, parts []string) (urgent bool) {
+// keys. It reports whether processes should hear of it soon: a key is suspect or quarantined.
+func (t *Table) Ended(now time.Time, upstream string, keys []Key) (urgent bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range parts {
-		urgent = t.add(now, p, upstream, now) || urgent
+	for _, k := range keys {
+		urgent = t.add(now, k, upstream, now) || urgent
 	}
 	t.dropExcess(now)
 	return urgent
 }
 
-// add adds the end of an upstream to the evidence against a part. It reports whether that makes the part
+// add adds the end of an upstream to the evidence against a key. It reports whether that makes the key
 // suspect or quarantined. t.mu must be held.
-func (t *Table) add(now time.Time, part, upstream string, endedAt time.Time) (urgent bool) {
-	e := t.cases[part]
+func (t *Table) add(now time.Time, k Key, upstream string, endedAt time.Time) (urgent bool) {
+	e := t.cases[k]
 	if e == nil {
-		e = &evidence{ends: map[string]time.Time{}, soundAt: t.sound.last(part)}
-		t.cases[part] = e
+		e = &evidence{key: k, ends: map[string]time.Time{}, soundAt: t.sound.last(k)}
+		t.cases[k] = e
 	}
 	known, ok := e.ends[upstream]
 	switch {
@@ -146,63 +171,63 @@
 	return e.tally(now).weight >= suspectEnds
 }
 
-// Answered records that a request with the given parts was answered completely.
-func (t *Table) Answered(now time.Time, parts []string) {
+// Answered records that a request with the given keys was answered completely.
+func (t *Table) Answered(now time.Time, keys []Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range parts {
-		t.sound.add(now, p)
-		e := t.cases[p]
+	for _, k := range keys {
+		t.sound.add(now, k)
+		e := t.cases[k]
 		if e == nil {
 			continue
 		}
-		if len(e.tally(now).upstreams) > 0 {
+		if e.hasEnds(now) {
 			e.changedAt = now
 		}
 		e.soundAt = now
 	}
 }
 
-// Check reports whether a request with the given parts is quarantined.
-func (t *Table) Check(now time.Time, parts []string) (q Quarantine, ok bool) {
+// Check reports whether a request with the given keys is quarantined.
+func (t *Table) Check(now time.Time, keys []Key) (q Quarantine, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range parts {
-		c := t.unexplained(now, p, parts)
+	for _, k := range keys {
+		c := t.unexplained(now, k, keys)
 		if until := c.last.Add(quarantineTime); c.weight >= quarantineEnds && now.Before(until) {
-			return Quarantine{Part: p, Ends: len(c.upstreams), Until: until}, true
+			return Quarantine{Key: k, Ends: len(c.upstreams), Until: until}, true
 		}
 	}
 	return q, false
 }
 
-// MayRepeat reports whether a request with the given parts may be sent once more after an upstream has
+// MayRepeat reports whether a request with the given keys may be sent once more after an upstream has
 // ended under it.
-func (t *Table) MayRepeat(now time.Time, parts []string) bool {
+func (t *Table) MayRepeat(now time.Time, keys []Key) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !slices.ContainsFunc(parts, func(p string) bool { return t.unexplained(now, p, parts).weight >= suspectEnds })
+	return !slices.ContainsFunc(keys, func(k Key) bool { return t.unexplained(now, k, keys).weight >= suspectEnds })
 }
 
-// unexplained returns what is held against a part of a request: nothing if another part explains it, that is,
+// unexplained returns what is held against a key of a request: nothing if another key explains it, that is,
 // one that the request lacks and under which all the same upstreams ended. t.mu must be held.
-func (t *Table) unexplained(now time.Time, part string, parts []string) tally {
-	e := t.cases[part]
+func (t *Table) unexplained(now time.Time, k Key, keys []Key) tally {
+	e := t.cases[k]
 	if e == nil {
 		return tally{}
 	}
 	c := e.tally(now)
-	if c.weight < suspectEnds || t.isExplained(now, c.upstreams, parts) {
+	if c.weight < suspectEnds || t.isExplained(now, c.upstreams, keys) {
 		return tally{}
 	}
 	return c
 }
 
-// isExplained reports whether all of the given upstreams ended under a part that a request lacks. t.mu
+// isExplained reports whether all of the given upstreams ended under a key that a request lacks. t.mu
 // must be held.
-func (t *Table) isExplained(now time.Time, upstreams, parts []string) bool {
-	for p, e := range t.cases {
-		if slices.Contains(parts, p) {
+func (t *Table) isExplained(now time.Time, upstreams []string, keys []Key) bool {
+	for k, e := range t.cases {
+		if slices.Contains(keys, k) {
 			continue
 		}
 		isIn := func(u string) bool {
@@ -216,29 +241,29 @@
 	return false
 }
 
-// Quarantined returns the parts under which enough upstreams have ended for a quarantine, sorted.
-func (t *Table) Quarantined(now time.Time) (parts []string) {
+// Quarantined returns the keys under which enough upstreams have ended for a quarantine, sorted.
+func (t *Table) Quarantined(now time.Time) (keys []Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for p, e := range t.cases {
+	for k, e := range t.cases {
 		if c := e.tally(now); c.weight >= quarantineEnds && now.Before(c.last.Add(quarantineTime)) {
-			parts = append(parts, p)
+			keys = append(keys, k)
 		}
 	}
-	slices.Sort(parts)
-	return parts
+	slices.Sort(keys)
+	return keys
 }
 
 // dropExcess drops the evidence that no longer counts, and the least if there is too much. t.mu must be
 // held.
 func (t *Table) dropExcess(now time.Time) {
-	maps.DeleteFunc(t.cases, func(_ string, e *evidence) bool {
-		return len(e.tally(now).upstreams) == 0 && now.Sub(e.changedAt) > spreadTime
+	maps.DeleteFunc(t.cases, func(_ Key, e *evidence) bool {
+		return now.Sub(e.changedAt) > spreadTime && !e.hasEnds(now)
 	})
 	if len(t.cases) <= maxCases {
 		return
 	}
-	for _, p := range t.byWeight(now)[maxCases:] {
-		delete(t.cases, p)
+	for _, k := range t.byWeight(now, func(*evidence) bool { return true })[maxCases:] {
+		delete(t.cases, k)
 	}
 }
--- a/coord/router/event.go
+++ b/coord/router/event.go
@@ -5,6 +5,7 @@
 
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/fleet"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/trace"
 	"cranberrypoint.example/coord/tree"
 	"cranberrypoint.example/coord/wire"
@@ -37,8 +38,8 @@
 	Prompt []byte
 	// PromptTokens is the number of prompt tokens, estimated from the size of Prompt.
 	PromptTokens int64
-	// PromptParts are ids of the parts of the prompt that other requests may share.
-	PromptParts []string
+	// PoisonKeys name what may be at fault if upstreams end under the request.
+	PoisonKeys []poison.Key
 	// MaxTokens is the requested limit on output tokens; 0 means the route's limit.
 	MaxTokens int64
 	Method    string
--- a/coord/router/poison.go
+++ b/coord/router/poison.go
@@ -6,19 +6,19 @@
 	"cranberrypoint.example/coord/fault"
 )
 
-// checkQuarantine refuses a request with a part in its prompt under which engines end; see package poison.
+// checkQuarantine refuses a request under which upstreams end; see package poison.
 func (r *Router) checkQuarantine(q *request) *fault.Error {
-	c, ok := r.poison.Check(r.now, q.call.PromptParts)
+	c, ok := r.poison.Check(r.now, q.call.PoisonKeys)
 	if !ok {
 		return nil
 	}
-	return fault.NotRun(fault.Quarantined, "%d upstreams have crashed under part %s of the prompt", c.Ends, c.Part).WithRetryAt(c.Until)
+	return c.Fault()
 }
 
 // recordEnd records that the engine of a run ended, if that is why the run failed. Runs at one engine fail
 // at about the same time, so the second tells its processes apart.
 func (r *Router) recordEnd(q *request, t *run, err *fault.Error) {
 	if err.Code == fault.UpstreamEnded {
-		r.poison.Ended(r.now, fmt.Sprintf("%s/%d", t.vm, r.now.Unix()), q.call.PromptParts)
+		r.poison.Ended(r.now, fmt.Sprintf("%s/%d", t.vm, r.now.Unix()), q.call.PoisonKeys)
 	}
 }
--- a/coord/router/poison_test.go
+++ b/coord/router/poison_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/router"
 	"cranberrypoint.example/coord/wire"
 	"github.com/google/go-cmp/cmp"
@@ -47,7 +48,9 @@
 	x := newHarness(t)
 	bad := func(name string, parts ...string) router.Call {
 		c := generatedCall(name)
-		c.PromptParts = parts
+		for _, p := range parts {
+			c.PoisonKeys = append(c.PoisonKeys, poison.PartKey(p))
+		}
 		return c
 	}
 	runs, err := x.crashAll(1, bad("first", "system", "bad"))
@@ -59,7 +62,7 @@
 		t.Errorf("runs of the second request, which ended with %v (-want +got):\n%s", err, d)
 	}
 	runs, err = x.crashAll(3, bad("third", "system", "bad"))
-	if d := cmp.Diff(0, runs); d != "" || err.Code != fault.Quarantined || err.Ran != wire.Ran_RAN_NO || err.RetryAt.IsZero() {
+	if d := cmp.Diff(0, runs); d != "" || err.Code != fault.PromptQuarantined || err.Ran != wire.Ran_RAN_NO || err.RetryAt.IsZero() {
 		t.Errorf("runs of the third request, which ended with %v (-want +got):\n%s", err, d)
 	}
 	if runs, err = x.crashAll(4, bad("sound", "system", "good")); runs == 0 {
--- a/coord/router/recover.go
+++ b/coord/router/recover.go
@@ -28,7 +28,7 @@
 		return
 	}
 	q.excluded[t.vm] = true
-	if r.recordEnd(q, t, err); !r.poison.MayRepeat(r.now, q.call.PromptParts) {
+	if r.recordEnd(q, t, err); !r.poison.MayRepeat(r.now, q.call.PoisonKeys) {
 		r.fail(q, err.WithRan(q.ran))
 		return
 	}
--- a/coord/router/relay.go
+++ b/coord/router/relay.go
@@ -89,7 +89,7 @@
 
 // complete ends a request whose answer was relayed completely.
 func (r *Router) complete(q *request, d *wire.Done) {
-	r.poison.Answered(r.now, q.call.PromptParts)
+	r.poison.Answered(r.now, q.call.PoisonKeys)
 	r.trace(trace.Finished, q, "", "")
 	r.emit(Finish{ID: q.id, Usage: q.usage, Trailers: d.GetTrailers()})
 	r.release(q)
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -69,7 +69,7 @@
 	roundRobinCount int
 	// prefillNanosPerToken is the moving average of the prefill time of one prompt token.
 	prefillNanosPerToken float64
-	// poison holds the parts of prompts under which engines ended.
+	// poison holds what upstreams ended under.
 	poison  *poison.Table
 	now     time.Time
 	effects []Effect
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/router"
 	"cranberrypoint.example/coord/tree"
 	"cranberrypoint.example/coord/wire"
@@ -110,7 +111,9 @@
 		Prompt:       []byte(p),
 		PromptTokens: wire.Tokens(len(p)),
 		MaxTokens:    r.MaxOutputTokens(),
-		PromptParts:  r.PartIDs(),
+	}
+	for _, p := range r.PartIDs() {
+		c.PoisonKeys = append(c.PoisonKeys, poison.PartKey(p))
 	}
 	a := &completionWriter{w: w, request: r, isChat: isChat, arrived: arrived, metrics: e.metrics}
 	e.serveCall(w, q, c, nil, a)
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/rules"
 	"github.com/sirupsen/logrus"
 )
@@ -33,6 +34,8 @@
 	// fingerprint identifies the request among all that callers send; see poison.Fingerprint. It is empty
 	// until the body was read.
 	fingerprint string
+	// poisonKeys name what may be at fault if upstreams end under the request.
+	poisonKeys []poison.Key
 	// workspace is nil if no key was authenticated, which is only accepted on public routes and
 	// if the configuration requires no keys.
 	workspace *rules.Workspace
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -37,7 +37,7 @@
 		upstreamStates:  opsrv.Counters(r, "proxy_upstream_states_total", "What upstreams said of themselves in answers: that they leave, want a pause or name a limit, or something that can't be understood.", "state"),
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		upstreamsEnded:  opsrv.Counter(r, "proxy_upstreams_ended_total", "Requests under which their upstream ended."),
-		quarantined:     opsrv.Counter(r, "proxy_quarantined_total", "Checks that stopped a request with a quarantined part in its prompt."),
+		quarantined:     opsrv.Counter(r, "proxy_quarantined_total", "Checks that stopped a quarantined request, or one with a quarantined part in its prompt."),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
 		storeEpochs:     opsrv.Counter(r, "store_epochs_total", "New epochs of the store: it was restored from a copy."),
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -134,7 +134,7 @@
 
 // mayRetry reports whether a request that may have run can be sent again.
 func (p *Proxy) mayRetry(x *exchange) bool {
-	return !x.route.AtMostOnce() && x.attempts < max(1, x.route.MaxAttempts) && p.poison.MayRepeat(time.Now(), x.call.PromptParts)
+	return !x.route.AtMostOnce() && x.attempts < max(1, x.route.MaxAttempts) && p.poison.MayRepeat(time.Now(), x.poisonKeys)
 }
 
 // pickUpstream picks an upstream that was not tried yet and may get a request now. One that is said to
--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -10,48 +10,47 @@
 	"syscall"
 	"time"
 
+	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/roster"
 	"github.com/sirupsen/logrus"
 )
 
 const (
-	// endCheckTimeout bounds the check whether an upstream has ended.
+	// endCheckTimeout bounds the check whether an upstream has ended, endCheckWait how long a request waits
+	// for it.
 	endCheckTimeout = time.Second
+	endCheckWait    = 100 * time.Millisecond
 	// brokenOffTime is how long after a request has broken off its upstream may prove to be gone.
 	brokenOffTime = 8 * time.Second
 	// maxBrokenOff bounds the requests that are remembered for that.
 	maxBrokenOff = 512
 )
 
-// checkQuarantine refuses a request with a part in its prompt under which upstreams crash. The next
-// upstream would crash too.
+// checkQuarantine refuses a request under which upstreams crash, or with a part in its prompt under which
+// they do. The next upstream would crash too.
 func (p *Proxy) checkQuarantine(x *exchange) *fault.Error {
-	if len(x.call.PromptParts) == 0 {
-		return nil
-	}
-	q, ok := p.poison.Check(time.Now(), x.call.PromptParts)
+	q, ok := p.poison.Check(time.Now(), x.poisonKeys)
 	if !ok {
 		return nil
 	}
 	p.metrics.quarantined.Inc()
-	return fault.NotRun(fault.Quarantined, "%d upstreams have crashed under part %s of the prompt", q.Ends, q.Part).WithRetryAt(q.Until)
+	return q.Fault()
 }
 
-// learnFromAnswer takes evidence for or against the parts of a request's prompt from how the relay of its
-// answer ended.
-func (p *Proxy) learnFromAnswer(x *exchange, u roster.Upstream) {
+// learnFromAnswer takes evidence for or against a request from how the relay of its answer ended.
+func (p *Proxy) learnFromAnswer(x *exchange, u roster.Upstream, info calls.ResponseInfo) {
 	r := x.record
-	isGood := r.status < http.StatusMultipleChoices
 	switch {
-	case r.end == frame.Complete && r.framing != frame.Connection && isGood:
-		p.poison.Answered(time.Now(), x.call.PromptParts)
-	case r.end == frame.Complete && isGood:
+	case r.end == frame.Complete && r.framing != frame.Connection:
+		p.recordSurvived(x, info)
+	case r.end == frame.Complete:
 		// If the upstream crashed between two events, the answer ended in the same way.
 		p.tasks.Go(func() {
 			if !p.checkEnded(x, u) {
-				p.poison.Answered(time.Now(), x.call.PromptParts)
+				p.recordSurvived(x, info)
 			}
 		})
 	case r.end == frame.Closed || r.end == frame.Reset:
@@ -59,15 +58,33 @@
 	}
 }
 
-// learnFromError takes evidence against a request from a send that got no answer. For a request without parts of a
-// prompt that is only logged, so the request doesn't wait for it.
+// recordSurvived records that an upstream has survived a request. A server error says nothing, since it may have
+// come before the upstream began its work; an answer that the caller's request was wrong speaks for the
+// request, but not for the parts of a prompt that wasn't answered.
+func (p *Proxy) recordSurvived(x *exchange, info calls.ResponseInfo) {
+	switch s := x.record.status; {
+	case s < http.StatusMultipleChoices:
+		p.poison.Answered(time.Now(), x.poisonKeys)
+	case s < http.StatusInternalServerError && info.Signed && !info.NotExecuted:
+		p.poison.Answered(time.Now(), x.poisonKeys[:1])
+	}
+}
+
+// learnFromError takes evidence against a request from a send that got no answer. It waits a little for the
+// result, on which depends whether the request may be repeated.
 func (p *Proxy) learnFromError(x *exchange, u roster.Upstream, err error) {
-	switch {
-	case !maybeSent(err) || !isBrokenOff(err):
-	case len(x.call.PromptParts) == 0:
-		p.tasks.Go(func() { p.checkEnded(x, u) })
-	default:
+	if !maybeSent(err) || !isBrokenOff(err) {
+		return
+	}
+	checked := make(chan struct{})
+	p.tasks.Go(func() {
+		defer close(checked)
 		p.checkEnded(x, u)
+	})
+	select {
+	case <-checked:
+	case <-time.After(endCheckWait):
+	case <-x.ctx.Done():
 	}
 }
 
@@ -83,11 +100,15 @@
 
 // checkEnded checks whether an upstream has ended, after its connection broke off under a request, and
 // records that. A connection may also be reset on its way, or by an upstream that goes on; if the upstream
-// takes connections, the request is remembered in case that it turns out to be a new process.
+// takes connections, the request is remembered in case that it turns out to be a new process. The end of an
+// upstream that was leaving is no evidence.
 func (p *Proxy) checkEnded(x *exchange, u roster.Upstream) (ended bool) {
+	if !p.snapshot.Load().isUsable(u) {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(p.ctx, endCheckTimeout)
 	defer cancel()
-	b := brokenOff{at: time.Now(), upstream: u, request: x.call.ID, fingerprint: x.fingerprint, parts: x.call.PromptParts}
+	b := brokenOff{at: time.Now(), upstream: u, request: x.call.ID, keys: x.poisonKeys}
 	if p.conns.HasEnded(ctx, u.Address, x.service.MaxConnections, p.maxIdleConns(x.service)) {
 		p.recordEnded(b)
 		return true
@@ -106,9 +127,7 @@
 	at       time.Time
 	upstream roster.Upstream
 	request  string
-	// fingerprint identifies the request among all that callers send.
-	fingerprint string
-	parts       []string
+	keys     []poison.Key
 }
 
 // recordGone records that an upstream has ended under the requests that had just broken off there: it is gone
@@ -127,11 +146,10 @@
 func (p *Proxy) recordEnded(b brokenOff) {
 	p.metrics.upstreamsEnded.Inc()
 	p.log.WithFields(logrus.Fields{
-		"event": "upstream-ended", "instance": b.upstream.Instance, "address": b.upstream.Address, "request": b.request, "fingerprint": b.fingerprint,
-		"parts": b.parts,
+		"event": "upstream-ended", "instance": b.upstream.Instance, "address": b.upstream.Address, "request": b.request, "keys": b.keys,
 	}).Warn("upstream ended under a request")
-	if p.poison.Ended(b.at, fmt.Sprintf("%s/%d", b.upstream.Instance, b.upstream.Born), b.parts) {
-		p.log.WithFields(logrus.Fields{"event": "parts-suspect", "quarantined": p.poison.Quarantined(b.at)}).Warn("several upstreams have ended under a part of prompts")
+	if p.poison.Ended(b.at, fmt.Sprintf("%s/%d", b.upstream.Instance, b.upstream.Born), b.keys) {
+		p.log.WithFields(logrus.Fields{"event": "poison-suspected", "quarantined": p.poison.Quarantined(b.at)}).Warn("several upstreams have ended under the same request or part of prompts")
 		p.mesh.Spread()
 	}
 }
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -188,12 +188,12 @@
 	p.metrics.answers.WithLabelValues(string(x.record.framing), string(x.record.end)).Inc()
 	if err == nil {
 		x.record.outcome = outcomeAnswered
-		p.learnFromAnswer(x, u)
+		p.learnFromAnswer(x, u, info)
 		p.recordResult(x, u, statusResult(resp.Status), info.Load, purpose)
 		return
 	}
 	p.recordResult(x, u, interruptedResult(x), info.Load, purpose)
-	p.learnFromAnswer(x, u)
+	p.learnFromAnswer(x, u, info)
 	x.record.cause = err.Error()
 	if x.r.Context().Err() != nil {
 		x.record.outcome = outcomeCallerLeft
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -173,6 +173,7 @@
 	_ = c.SetReadDeadline(time.Time{})
 	x.body = b
 	x.fingerprint = poison.Fingerprint(x.workspaceName(), x.r.Method, hostWithoutPort(x.r.Host), x.r.RequestURI, b)
+	x.poisonKeys = poison.Keys(x.fingerprint, x.call.PromptParts)
 	return nil
 }
 
--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -15,6 +15,7 @@
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/pause"
+	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
@@ -74,6 +75,7 @@
 		upstreams:    digest.New(),
 		pauses:       pause.New(),
 		pacer:        pacer.New(nil),
+		poison:       poison.New(),
 		leaving:      map[string]time.Time{},
 		heardLeaving: map[string]hearsay{},
 		mesh:         mesh.New(&wire.Member{Name: "z", Role: mesh.RoleEntry}, nil, links, log),
