--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -16,13 +16,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
-	"time"
 
 	"cranberrypoint.example/coord/fault"
-	"cranberrypoint.example/coord/upconn"
 	"github.com/rotisserie/eris"
 )
 
@@ -147,24 +144,6 @@
 // Base returns the base URL of the engine.
 func (c *Client) Base() string { return c.base }
 
-// HasEnded reports whether the engine's process has ended: it is to be called after the engine has closed a
-// connection, and then takes no new one.
-func (c *Client) HasEnded(ctx context.Context) bool {
-	u, err := url.Parse(c.base)
-	if err != nil {
-		return false
-	}
-	n, err := (&net.Dialer{Timeout: endCheckTimeout}).DialContext(ctx, "tcp", u.Host)
-	if err != nil {
-		return upconn.NotListening(err)
-	}
-	_ = n.Close()
-	return false
-}
-
-// endCheckTimeout bounds the connection that HasEnded tries to open.
-const endCheckTimeout = time.Second
-
 // Prefill computes the KV cache of a prompt. The engine keeps it for export to another
 // engine under PrefillResult.Handle.
 func (c *Client) Prefill(ctx context.Context, p Prefill) (r PrefillResult, err error) {
--- a/agent/engine/engine_test.go
+++ b/agent/engine/engine_test.go
@@ -44,18 +44,3 @@
 		t.Errorf("result %v; want an error", r)
 	}
 }
-
-// TestHasEnded checks that an engine which only closes connections isn't taken for one that has ended.
-func TestHasEnded(t *testing.T) {
-	s := httptest.NewServer(http.NotFoundHandler())
-	defer s.Close()
-	c := New(s.URL)
-	s.CloseClientConnections()
-	if c.HasEnded(t.Context()) {
-		t.Error("a running engine has ended")
-	}
-	s.Close()
-	if !c.HasEnded(t.Context()) {
-		t.Error("an engine that takes no connection has not ended")
-	}
-}
--- a/agent/host/call.go
+++ b/agent/host/call.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"net"
+	"net/url"
 	"sync"
+	"time"
 
 	"cranberrypoint.example/agent/engine"
 	"cranberrypoint.example/agent/plain"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/upconn"
 	"cranberrypoint.example/coord/wire"
 	"cranberrypoint.example/coord/worker"
 )
@@ -165,11 +168,27 @@
 	if errors.As(err, &s) {
 		return fault.NotRun(fault.UpstreamError, "%s", s.Text)
 	}
-	code, text := fault.UpstreamError, "the engine gave no whole answer"
-	if ctx.Err() == nil && h.engine.HasEnded(ctx) {
-		code, text = fault.UpstreamEnded, "the engine ended while it worked on the request"
+	return h.checkEnded(ctx, fault.NotRun(fault.UpstreamError, "the engine gave no whole answer").WithRan(wire.Ran_RAN_UNKNOWN))
+}
+
+// endCheckTimeout bounds the check whether the upstream has ended.
+const endCheckTimeout = time.Second
+
+// checkEnded says in the fault of a call that may have run whether the upstream's process has ended.
+func (h *Host) checkEnded(ctx context.Context, f *fault.Error) *fault.Error {
+	if f.Code != fault.UpstreamError || f.Ran == wire.Ran_RAN_NO || ctx.Err() != nil {
+		return f
+	}
+	u, err := url.Parse(h.settings.Upstream)
+	if err != nil {
+		return f
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	if upconn.Ended(ctx, u.Host) {
+		return fault.NotRun(fault.UpstreamEnded, "the upstream ended while it worked on the request").WithRan(f.Ran)
 	}
-	return fault.NotRun(code, "%s", text).WithRan(wire.Ran_RAN_UNKNOWN)
+	return f
 }
 
 // plain forwards a request to a plain HTTP service. It passes the head and the data of the
@@ -184,7 +203,7 @@
 		Ended: func(f frame.Framing, e frame.End) { h.metrics.answers.WithLabelValues(string(f), string(e)).Inc() },
 	})
 	if err != nil {
-		return nil, err
+		return nil, h.checkEnded(ctx, err)
 	}
 	return &wire.Done{Trailers: t}, nil
 }
--- a/coord/router/poison.go
+++ b/coord/router/poison.go
@@ -15,7 +15,7 @@
 	return c.Fault()
 }
 
-// recordEnd records that the engine of a run ended, if that is why the run failed. Runs at one engine fail
+// recordEnd records that the upstream of a run ended, if that is why the run failed. Runs at one upstream fail
 // at about the same time, so the second tells its processes apart.
 func (r *Router) recordEnd(q *request, t *run, err *fault.Error) {
 	if err.Code == fault.UpstreamEnded {
--- a/coord/router/recover.go
+++ b/coord/router/recover.go
@@ -13,6 +13,7 @@
 		return
 	}
 	t.live = false
+	r.recordEnd(q, t, err)
 	if err.Code == fault.OutcomeUnknown && !q.idempotent() {
 		r.cancelAndQueryOutcome(q)
 		return
@@ -28,7 +29,7 @@
 		return
 	}
 	q.excluded[t.vm] = true
-	if r.recordEnd(q, t, err); !r.poison.MayRepeat(r.now, q.call.PoisonKeys) {
+	if !r.poison.MayRepeat(r.now, q.call.PoisonKeys) {
 		r.fail(q, err.WithRan(q.ran))
 		return
 	}
--- a/coord/router/relay.go
+++ b/coord/router/relay.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"net/http"
+
 	"cranberrypoint.example/coord/assert"
 	"cranberrypoint.example/coord/trace"
 	"cranberrypoint.example/coord/wire"
@@ -29,6 +31,7 @@
 	}
 	q.phase = relaying
 	q.headSent = true
+	q.status = int(e.Head.GetStatus())
 	q.ran = wire.Ran_RAN_YES
 	r.emit(Head{q.id, e.Head})
 }
@@ -89,7 +92,9 @@
 
 // complete ends a request whose answer was relayed completely.
 func (r *Router) complete(q *request, d *wire.Done) {
-	r.poison.Answered(r.now, q.call.PoisonKeys)
+	if q.status < http.StatusInternalServerError {
+		r.poison.Answered(r.now, q.call.PoisonKeys)
+	}
 	r.trace(trace.Finished, q, "", "")
 	r.emit(Finish{ID: q.id, Usage: q.usage, Trailers: d.GetTrailers()})
 	r.release(q)
--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -82,7 +82,9 @@
 	written      int64
 	outputTokens int64
 	headSent     bool
-	usage        Usage
+	// status is that of a plain answer; 0 if none has begun.
+	status int
+	usage  Usage
 	// failures counts the failed runs whose error is not fault.Unreachable. Runs at agents
 	// that couldn't be reached or fell silent are not counted.
 	failures int
--- a/coord/upconn/ended.go
+++ b/coord/upconn/ended.go
@@ -30,6 +30,16 @@
 	return false
 }
 
+// Ended is Pool.HasEnded for a process whose connections are in no pool. The connection that it takes is closed.
+func Ended(ctx context.Context, address string) bool {
+	c, err := newDialer().DialContext(ctx, "tcp", address)
+	if err != nil {
+		return NotListening(err)
+	}
+	_ = c.Close()
+	return false
+}
+
 // NotListening reports whether a connection couldn't be opened because nothing takes connections at the
 // address, not for want of something on this VM, such as descriptors.
 func NotListening(err error) bool {
--- a/coord/upconn/upconn_test.go
+++ b/coord/upconn/upconn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -368,6 +369,21 @@
 	}
 }
 
+// TestEnded checks that an upstream which only closes connections isn't taken for one that has ended.
+func TestEnded(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	defer s.Close()
+	a := s.Listener.Addr().String()
+	s.CloseClientConnections()
+	if Ended(t.Context(), a) {
+		t.Error("a running upstream has ended")
+	}
+	s.Close()
+	if !Ended(t.Context(), a) {
+		t.Error("an upstream that takes no connection has not ended")
+	}
+}
+
 // TestNotListening checks that a process which runs out of descriptors doesn't take upstreams for ended.
 func TestNotListening(t *testing.T) {
 	for e, want := range map[error]bool{
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -112,9 +112,7 @@
 		PromptTokens: wire.Tokens(len(p)),
 		MaxTokens:    r.MaxOutputTokens(),
 	}
-	for _, p := range r.PartIDs() {
-		c.PoisonKeys = append(c.PoisonKeys, poison.PartKey(p))
-	}
+	c.PoisonKeys = poison.Keys(poison.Fingerprint(c.KeyHash, q.Method, "", q.URL.Path, b), r.PartIDs())
 	a := &completionWriter{w: w, request: r, isChat: isChat, arrived: arrived, metrics: e.metrics}
 	e.serveCall(w, q, c, nil, a)
 }
@@ -148,6 +146,9 @@
 		Headers:        upstreamHeaders(q, key, b.size(q)),
 		Digest:         digest,
 	}
+	if b.complete {
+		c.PoisonKeys = poison.Keys(poison.Fingerprint(c.KeyHash, c.Method, "", c.Path, b.data), nil)
+	}
 	e.serveCall(w, q, c, b, &plainWriter{w: w})
 }
 
--- a/local/stand/service.go
+++ b/local/stand/service.go
@@ -20,6 +20,9 @@
 	urls    []string
 	// ending is how answers end; nil for the usual end.
 	ending *fake.Ending
+	// crash is called instead of an answer for requests with the body crashBody; nil for never.
+	crash     func()
+	crashBody string
 }
 
 // NewService returns a service without effects.
@@ -66,6 +69,24 @@
 	s.ending = e
 }
 
+// SetCrash lets the service crash under requests with a body: it calls crash, which is to end the server, and gives
+// no answer.
+func (s *Service) SetCrash(body string, crash func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashBody, s.crash = body, crash
+}
+
+// crashOn returns what crashes the service under a request with a body; nil if nothing does.
+func (s *Service) crashOn(body string) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if body != s.crashBody {
+		return nil
+	}
+	return s.crash
+}
+
 func (s *Service) serve(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("X-Request-Id")
 	s.mu.Lock()
@@ -78,6 +99,10 @@
 		time.Sleep(d)
 	}
 	b, _ := io.ReadAll(q.Body)
+	if c := s.crashOn(string(b)); c != nil {
+		c()
+		panic(http.ErrAbortHandler)
+	}
 	if e != nil {
 		w.Header().Set("Content-Type", q.Header.Get("Accept"))
 		_ = e.Write(w, string(b))
