proxy, roster: upstreams have a version; logs name it and what a stream resumes

No decision changes. The version isn't in the hash of lists of upstreams, so that entries of the earlier release still exchange deltas (TestHashOfEarlierReleases).

--- a/coord/calls/calls.go
+++ b/coord/calls/calls.go
@@ -31,6 +31,12 @@
 	// PromptParts identifies the parts of the prompt that other requests may share, in order. The
 	// last part of a prompt is the request's own and isn't among them.
 	PromptParts []string
+	// Resumes is the id of the request whose answer brought the first events of a stream that the
+	// caller takes up again after a break; empty if the request names none.
+	Resumes string
+	// LastEvent is the id of the last event of the stream that the caller has; empty if the request
+	// begins a new stream.
+	LastEvent string
 }
 
 // UpstreamParams holds what is added to a caller's request before it is sent to an upstream.
--- a/coord/digest/digest.go
+++ b/coord/digest/digest.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/wire"
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
@@ -62,8 +63,24 @@
 
 // hashUpstream returns the hash of one upstream. The hash of a list is the sum of those of its
 // upstreams, so it doesn't depend on their order. The formatted text contains the names of the
-// fields: if one is renamed, processes with the old and the new name can't exchange deltas.
-func hashUpstream(u roster.Upstream) uint64 { return xxhash.Sum64String(fmt.Sprintf("%+v", u)) }
+// fields: if one is renamed, processes with the old and the new name can't exchange deltas. Fields
+// that earlier releases lack are left out of it for the same reason; they never change while a
+// process runs.
+func hashUpstream(u roster.Upstream) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%+v", hashed{u.Instance, u.Service, u.Address, u.DataCentre, u.Leaving, u.Slots, u.Stage, u.Born}))
+}
+
+// hashed holds the fields of roster.Upstream that are in its hash.
+type hashed struct {
+	Instance   string
+	Service    string
+	Address    string
+	DataCentre string
+	Leaving    bool
+	Slots      int
+	Stage      wire.Stage
+	Born       int64
+}
 
 // Set replaces the list and records the change.
 func (l *VersionedList) Set(list []roster.Upstream) {
--- a/coord/digest/digest_test.go
+++ b/coord/digest/digest_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/wire"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -78,3 +79,12 @@
 		t.Errorf("a delta with another base is applied without an error: %v", l)
 	}
 }
+
+// TestHashOfEarlierReleases checks that the hash of an upstream is that of releases without its version, so that
+// processes of both can exchange deltas.
+func TestHashOfEarlierReleases(t *testing.T) {
+	u := roster.Upstream{Instance: "i", Service: "s", Address: "a:1", DataCentre: "d", Leaving: true, Slots: 3, Stage: wire.Stage_STAGE_DECODE, Born: 5, Version: "v1"}
+	if d := cmp.Diff(uint64(0xb0d95e0aac42fec4), hashUpstream(u)); d != "" {
+		t.Errorf("hash (-want +got):\n%s", d)
+	}
+}
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -26,9 +26,8 @@
 )
 
 // Upstream is a process that runs requests. Entries, the processes that accept callers'
-// requests, exchange lists of upstreams in JSON and compare them by a hash of the text that
-// fmt's %+v makes of this struct (package digest), so the names and order of the fields are
-// part of the protocol.
+// requests, exchange lists of upstreams in JSON and compare them by a hash of the fields up to
+// Born (package digest), so their names and order are part of the protocol.
 type Upstream struct {
 	// Instance identifies one run of the process; a restart gets a new one.
 	Instance   string
@@ -45,6 +44,9 @@
 	Stage wire.Stage
 	// Born is the start time of the process, in Unix milliseconds.
 	Born int64
+	// Version is that of the process's software; empty if it isn't known, as in lists of entries of
+	// earlier releases.
+	Version string `json:",omitempty"`
 }
 
 // List is a list of upstreams that was read from the store.
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -65,6 +65,7 @@
 	cause           string
 	sends           int
 	instance        string
+	upstreamVersion string
 	prefillInstance string
 	// localPrefill is true if this entry chose the decode engine for the prefill and its agent
 	// permitted that. It is not set if the decode engine prefills because a remote prefill
@@ -193,9 +194,9 @@
 		f["route"] = x.route.Name
 	}
 	for k, v := range map[string]string{
-		"cause": r.cause, "instance": r.instance, "prefill": r.prefillInstance, "framing": string(r.framing), "end": string(r.end),
-		"protocol": x.unusualProtocol(),
-		"parts":    strings.Join(x.call.PromptParts, ","),
+		"cause": r.cause, "instance": r.instance, "upstream-version": r.upstreamVersion, "prefill": r.prefillInstance, "framing": string(r.framing), "end": string(r.end),
+		"protocol": x.unusualProtocol(), "resumes": x.call.Resumes, "last-event": x.call.LastEvent,
+		"parts": strings.Join(x.call.PromptParts, ","),
 	} {
 		if v != "" {
 			f[k] = v
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -183,7 +183,7 @@
 // deliver relays an answer and records its result. If the answer broke off, it panics with
 // http.ErrAbortHandler to close the caller's connection.
 func (p *Proxy) deliver(x *exchange, u roster.Upstream, resp *upconn.Response, info calls.ResponseInfo, purpose string, flush bool) {
-	x.record.instance = u.Instance
+	x.record.instance, x.record.upstreamVersion = u.Instance, u.Version
 	err := p.relay(x, resp, flush)
 	p.metrics.answers.WithLabelValues(string(x.record.framing), string(x.record.end)).Inc()
 	if err == nil {
