--- a/coord/poison/poison.go
+++ b/coord/poison/poison.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/recent"
 )
 
 const (
@@ -46,6 +47,8 @@
 	// evidenceTime is how long the end of an upstream counts. It is longer than quarantineTime, so that
 	// one further end renews a quarantine.
 	evidenceTime = time.Hour
+	// maxSound is about half of the answered keys that are remembered at most.
+	maxSound = 4096
 	// maxCases bounds the keys with evidence against them, maxEnds the ends that are kept for one.
 	maxCases = 512
 	maxEnds  = 32
@@ -132,11 +135,14 @@
 type Table struct {
 	mu    sync.Mutex
 	cases map[Key]*evidence
-	sound *answered
+	// sound holds when requests with a key were last answered.
+	sound *recent.Cache[Key, time.Time]
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{cases: map[Key]*evidence{}, sound: newAnswered()} }
+func New() *Table {
+	return &Table{cases: map[Key]*evidence{}, sound: recent.NewCache[Key, time.Time](maxSound, soundTime)}
+}
 
 // Ended records that an upstream, identified by its process, ended under a request with the given
 // keys. It reports whether processes should hear of it soon: a key is suspect or quarantined.
@@ -155,7 +161,8 @@
 func (t *Table) add(now time.Time, k Key, upstream string, endedAt time.Time) (urgent bool) {
 	e := t.cases[k]
 	if e == nil {
-		e = &evidence{key: k, ends: map[string]time.Time{}, soundAt: t.sound.last(k)}
+		e = &evidence{key: k, ends: map[string]time.Time{}}
+		e.soundAt, _ = t.sound.Get(k)
 		t.cases[k] = e
 	}
 	known, ok := e.ends[upstream]
@@ -176,7 +183,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, k := range keys {
-		t.sound.add(now, k)
+		t.sound.Put(now, k, now)
 		e := t.cases[k]
 		if e == nil {
 			continue
--- a/coord/recent/recent.go
+++ b/coord/recent/recent.go
@@ -1,4 +1,5 @@
-// Package recent computes quantiles over a sliding window of the last values of a sequence.
+// Package recent remembers what came last: Samples computes quantiles over the last values of a sequence, Cache
+// holds the values that were put under keys in the last time.
 package recent
 
 import (
