origin, proxy: a stream goes on only at the version that began it

Cause: an entry knew neither an upstream's version nor which one began a stream, and the caller may return at any entry, also after its first one was killed. Ruled out: another process at the address (sends name the instance).

Change: the entry that relays the head of an answer that may be resumed notes its service and version, and lets three other members note it, which rank first for the request. Whoever is asked to go on looks there, and accepts only upstreams of that version, whenever one is picked, asked for a place, moved to or repeated at. Where the origin isn't known and there may have been several versions, or none of that version is left, the stream is refused at once.

--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -14,6 +14,7 @@
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/opsrv"
+	"cranberrypoint.example/coord/origin"
 	"cranberrypoint.example/coord/rumor"
 	"cranberrypoint.example/coord/stages"
 	"cranberrypoint.example/coord/tasks"
@@ -50,7 +51,9 @@
 	settings Settings
 	mesh     *mesh.Mesh
 	engine   *admit.Manager
-	tasks    tasks.Group
+	// origins holds where streams began, for entries, which may be killed together.
+	origins *origin.Table
+	tasks   tasks.Group
 	// startedAt is the agent's incarnation: in milliseconds in its membership record, in
 	// nanoseconds in its status.
 	startedAt time.Time
@@ -73,7 +76,7 @@
 	links, closeLinks := link.NewPool(nil, link.WithPing(mesh.Ping))
 	conns, closeConns := upconn.NewPool(nil)
 	registry := opsrv.NewRegistry()
-	e = &EngineAgent{settings: s, startedAt: now}
+	e = &EngineAgent{settings: s, startedAt: now, origins: origin.NewTable()}
 	self := &wire.Member{
 		Name:        s.VM,
 		Role:        mesh.RoleAgent,
@@ -159,6 +162,17 @@
 	return e.mesh.Gossip(ctx, q)
 }
 
+// NoteOrigin remembers where a stream began.
+func (e *EngineAgent) NoteOrigin(_ context.Context, m *wire.StreamOrigin) (*wire.OriginNoted, error) {
+	e.origins.HandleNote(time.Now(), m)
+	return &wire.OriginNoted{}, nil
+}
+
+// FindOrigin tells where a stream began.
+func (e *EngineAgent) FindOrigin(_ context.Context, q *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
+	return e.origins.HandleFind(q), nil
+}
+
 // Hold reserves a place at the engine; see admit.Manager.
 func (e *EngineAgent) Hold(s wire.DRPCMesh_HoldStream) error {
 	q, err := s.Recv()
--- a/coord/fault/fault.go
+++ b/coord/fault/fault.go
@@ -59,6 +59,10 @@
 	PromptQuarantined Code = "prompt_quarantined"
 	// RequestQuarantined means that upstreams have crashed under the same request.
 	RequestQuarantined Code = "request_quarantined"
+	// StreamUnknown means that a stream can't go on, since it isn't known which version of its upstream began it.
+	StreamUnknown Code = "stream_unknown"
+	// VersionGone means that a stream can't go on, since no upstream of the version that began it is left.
+	VersionGone Code = "version_gone"
 	// NotReady means that the process can't serve requests yet or for now.
 	NotReady Code = "not_ready"
 )
--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -205,7 +205,7 @@
 }
 
 // Call makes a unary call within CallTimeout on a connection of the pool. The function f makes
-// the call: Exchange, Reserve, Settle, Cancel, Gossip, List or Take.
+// the call: Exchange, Reserve, Settle, Cancel, Gossip, List, Take, NoteOrigin or FindOrigin.
 func Call[I, O any](ctx context.Context, p *Pool, address string, f func(drpc.Conn, context.Context, I) (O, error), in I) (out O, err error) {
 	defer fault.Annotate(&err, "call %s", address)
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
@@ -255,6 +255,16 @@
 	return wire.NewDRPCMeshClient(c).Take(ctx, m)
 }
 
+// NoteOrigin calls NoteOrigin of the mesh protocol.
+func NoteOrigin(c drpc.Conn, ctx context.Context, m *wire.StreamOrigin) (*wire.OriginNoted, error) {
+	return wire.NewDRPCMeshClient(c).NoteOrigin(ctx, m)
+}
+
+// FindOrigin calls FindOrigin of the mesh protocol.
+func FindOrigin(c drpc.Conn, ctx context.Context, m *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
+	return wire.NewDRPCMeshClient(c).FindOrigin(ctx, m)
+}
+
 // Serve serves the peer protocol, and the agent protocol unless agent is nil, until the
 // context ends. A nil configuration means plain TCP.
 func Serve(ctx context.Context, l net.Listener, c *tls.Config, peer wire.DRPCPeerServer, agent wire.DRPCAgentServer) (err error) {
--- a/coord/rules/rules.go
+++ b/coord/rules/rules.go
@@ -234,6 +234,11 @@
 	return ""
 }
 
+// Serves reports whether the route leads to a service.
+func (t *Route) Serves(service string) bool {
+	return slices.ContainsFunc(t.Destinations, func(d Destination) bool { return d.Service == service })
+}
+
 // AtMostOnce reports whether the route's requests must not run more than once.
 func (t *Route) AtMostOnce() bool {
 	return t.Kind == NonIdempotent || t.Kind == Streaming && !t.Resumable
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -134,6 +134,9 @@
 	defer p.mu.Unlock()
 	var least float64
 	for _, c := range p.candidates(x.service.Name, wire.Stage_STAGE_DECODE, tried) {
+		if !x.accepts(c.upstream) {
+			continue
+		}
 		cost, free := p.decodeCost(x, c)
 		if p.isSaidToLeave(time.Now(), c.upstream.Instance) || c.state != nil && c.state.Leaving {
 			cost += leavingCost
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/origin"
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/rules"
 	"github.com/sirupsen/logrus"
@@ -41,6 +42,8 @@
 	workspace *rules.Workspace
 	// tokens is how many tokens were taken from the workspace's limit.
 	tokens int64
+	// origin is where the stream began that the request takes up again; its version is empty for none.
+	origin origin.Origin
 	// prefillDeadline is when the prefill of a stream must end for its answer to begin on time.
 	prefillDeadline time.Time
 	// kvCache is the prompt's KV cache on a prefill engine, if there is one.
--- a/entry/proxy/learn.go
+++ b/entry/proxy/learn.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
@@ -67,15 +68,43 @@
 	return p.adoptReply(present(), q, old, a, sent.Add(-micros(a.AgeMicros)))
 }
 
-// listRequest returns a request for what another entry knows beyond a snapshot; nil for none.
+// listRequest returns a request for what another entry knows beyond a snapshot; nil for none. If versions of upstreams are
+// missing, as in lists of entries of earlier releases, it asks for the whole list, since versions aren't in the hash.
 func (p *Proxy) listRequest(old *snapshot) *wire.ListRequest {
 	q := &wire.ListRequest{Sender: p.settings.PeerAddress}
 	if old != nil {
 		q.Hash, q.Version, q.ConfigHash = old.hash, old.rules.Version(), old.configHash
+		if old.lacksVersions() {
+			q.Hash = 0
+		}
 	}
 	return q
 }
 
+// lacksVersions reports whether the version of an upstream isn't known.
+func (s *snapshot) lacksVersions() bool {
+	for _, l := range s.services {
+		if slices.ContainsFunc(l, func(u roster.Upstream) bool { return u.Version == "" }) {
+			return true
+		}
+	}
+	return false
+}
+
+// withKnownVersions adds the versions that this entry knows to those upstreams in a list that lack one.
+func withKnownVersions(list, known []roster.Upstream) []roster.Upstream {
+	versions := map[string]roster.Upstream{}
+	for _, u := range known {
+		versions[u.Instance] = u
+	}
+	for i, u := range list {
+		if k := versions[u.Instance]; u.Version == "" && k.Born == u.Born {
+			list[i].Version = k.Version
+		}
+	}
+	return list
+}
+
 // adoptReply adopts the reply of another entry to a request that was based on a snapshot.
 func (p *Proxy) adoptReply(now moment, q *wire.ListRequest, old *snapshot, a *wire.ListReply, readAt clock.Instant) error {
 	isOld := micros(a.AgeMicros) > maxEntryDataAge
@@ -110,12 +139,13 @@
 		return l, err
 	}
 	p.mu.Lock()
-	if p.upstreams.Hash() != q.Hash {
+	if !d.Full && p.upstreams.Hash() != q.Hash {
 		// Another listing was adopted during the call.
 		p.mu.Unlock()
 		return l, errNoRecentData
 	}
 	l.Upstreams, err = p.upstreams.Applied(d)
+	l.Upstreams = withKnownVersions(l.Upstreams, p.upstreams.List())
 	p.mu.Unlock()
 	if err != nil {
 		return l, err
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -17,6 +17,7 @@
 	connections     prometheus.Counter
 	upstreamsEnded  prometheus.Counter
 	quarantined     prometheus.Counter
+	resumed         *prometheus.CounterVec
 	storeReads      prometheus.Counter
 	storeReadErrors prometheus.Counter
 	storeEpochs     prometheus.Counter
@@ -38,6 +39,7 @@
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		upstreamsEnded:  opsrv.Counter(r, "proxy_upstreams_ended_total", "Requests under which their upstream ended."),
 		quarantined:     opsrv.Counter(r, "proxy_quarantined_total", "Checks that stopped a quarantined request, or one with a quarantined part in its prompt."),
+		resumed:         opsrv.Counters(r, "proxy_resumed_total", "Streams that callers took up again, by how it was found which version began them.", "origin"),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
 		storeEpochs:     opsrv.Counter(r, "store_epochs_total", "New epochs of the store: it was restored from a copy."),
--- a/entry/proxy/peers_test.go
+++ b/entry/proxy/peers_test.go
@@ -84,6 +84,36 @@
 	}
 }
 
+// TestVersionsOutliveEarlierRelease checks that an entry keeps the versions of upstreams that it knows when an entry of
+// an earlier release sends them without, and asks for the whole list while it lacks one.
+func TestVersionsOutliveEarlierRelease(t *testing.T) {
+	now := time.Now()
+	known := roster.Upstream{Instance: "known", Service: "s", Address: "1", Version: "v1"}
+	fresh := roster.Upstream{Instance: "new", Service: "s", Address: "2"}
+	e := newSimEntry(t)
+	mustAdopt(t, e, now, calls.Listing{Rules: mustRules(t, 7), Revision: 1, Upstreams: []roster.Upstream{known}})
+	old := e.snapshot.Load()
+	q := e.listRequest(old)
+	if d := cmp.Diff(old.hash, q.Hash); d != "" || q.Hash == 0 {
+		t.Errorf("hash in a request with all versions known (-want +got):\n%s", d)
+	}
+	list := digest.New()
+	list.Set([]roster.Upstream{{Instance: "known", Service: "s", Address: "1"}, fresh})
+	delta, err := json.Marshal(list.DeltaSince(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.adoptReply(momentAt(now), q, old, &wire.ListReply{Known: true, Revision: 2, Delta: delta}, momentAt(now).instant); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff([]roster.Upstream{known, fresh}, e.snapshot.Load().services["s"]); d != "" {
+		t.Errorf("upstreams (-want +got):\n%s", d)
+	}
+	if d := cmp.Diff(uint64(0), e.listRequest(e.snapshot.Load()).Hash); d != "" {
+		t.Errorf("hash in a request with a version missing (-want +got):\n%s", d)
+	}
+}
+
 // TestHearsayPrefersOthers checks that an upstream which another entry has heard leaving is used only if
 // there is no other, that the word is passed on once, and that it expires.
 func TestHearsayPrefersOthers(t *testing.T) {
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -32,7 +32,7 @@
 	tried := map[string]bool{}
 	var last error
 	for range maxPlainUpstreams {
-		if e := cmp.Or(p.checkStillAllowed(x), p.checkQuarantine(x), p.checkAvailable(x)); e != nil {
+		if e := cmp.Or(p.checkStillAllowed(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
 			p.fail(x, e)
 			return
 		}
@@ -146,7 +146,7 @@
 	var staying, saidToLeave []roster.Upstream
 	for _, u := range p.snapshot.Load().services[x.service.Name] {
 		switch {
-		case tried[u.Instance] || !p.isAvailable(now, u.Instance):
+		case tried[u.Instance] || !x.accepts(u) || !p.isAvailable(now, u.Instance):
 		case p.isSaidToLeave(now, u.Instance):
 			saidToLeave = append(saidToLeave, u)
 		default:
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/opsrv"
+	"cranberrypoint.example/coord/origin"
 	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/picker"
@@ -159,9 +160,12 @@
 	loggedLimits map[string]float64
 	// broken holds requests whose upstreams may have ended.
 	broken []brokenOff
-	// poison and pacer have locks of their own.
-	poison *poison.Table
-	pacer  *pacer.Table
+	// The others have locks of their own. origins holds where streams began, versions which versions the
+	// upstreams of a service have had.
+	poison   *poison.Table
+	pacer    *pacer.Table
+	origins  *origin.Table
+	versions *origin.History
 }
 
 // Start runs an entry. The returned function stops it at once; see Drain for a graceful shutdown.
@@ -206,6 +210,8 @@
 		loggedLimits:      map[string]float64{},
 		clientConns:       newConnTracker(listeners[0]),
 		poison:            poison.New(),
+		origins:           origin.NewTable(),
+		versions:          origin.NewHistory(),
 	}
 	p.pacer = pacer.New(p.limitShare)
 	var closeConns func()
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -40,7 +40,7 @@
 	}
 	// A decode engine may have been picked seconds ago, before the waits for a reservation and for
 	// the prefill.
-	if err := p.checkUpstream(u); err != nil {
+	if err := cmp.Or(p.checkUpstream(u), p.checkPinned(x, u)); err != nil {
 		return nil, calls.ResponseInfo{}, err
 	}
 	now := time.Now()
@@ -184,6 +184,9 @@
 // http.ErrAbortHandler to close the caller's connection.
 func (p *Proxy) deliver(x *exchange, u roster.Upstream, resp *upconn.Response, info calls.ResponseInfo, purpose string, flush bool) {
 	x.record.instance, x.record.upstreamVersion = u.Instance, u.Version
+	if resp.Status < http.StatusMultipleChoices {
+		p.noteOrigin(x, u)
+	}
 	err := p.relay(x, resp, flush)
 	p.metrics.answers.WithLabelValues(string(x.record.framing), string(x.record.end)).Inc()
 	if err == nil {
--- a/entry/proxy/reserve.go
+++ b/entry/proxy/reserve.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -49,7 +50,7 @@
 func (p *Proxy) reserveDecode(x *exchange, tried map[string]bool) (reservation, *fault.Error) {
 	retryAfter := streamRetryAfter
 	asked := maps.Clone(tried)
-	var quarantined *fault.Error
+	var hopeless *fault.Error
 	for tries := 0; tries < maxReservationTries; tries++ {
 		c, hasRoom, ok := p.pickDecode(x, asked)
 		if !ok || tries > 0 && !hasRoom {
@@ -63,8 +64,8 @@
 				r.reservation.release(false)
 			}
 			return reservation{}, fault.NotRun(fault.Cancelled, "the caller left or its time is over")
-		case errors.As(r.err, &quarantined):
-			return reservation{}, quarantined
+		case errors.As(r.err, &hopeless):
+			return reservation{}, hopeless
 		case isUnavailable(r.err):
 			// This try doesn't count: the request had no chance there.
 			tries--
@@ -117,7 +118,7 @@
 
 // checkWaiting reports why a request should no longer wait for a place at an upstream; nil if it should.
 func (p *Proxy) checkWaiting(x *exchange, u roster.Upstream) error {
-	if e := p.checkQuarantine(x); e != nil {
+	if e := cmp.Or(p.checkQuarantine(x), p.checkVersion(x)); e != nil {
 		return e
 	}
 	return p.checkUpstream(u)
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -52,6 +52,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
+	if e := p.pinResumed(x); e != nil {
+		p.fail(x, e)
+		return
+	}
 	if x.route.Kind == rules.Streaming && x.service.Engine != nil {
 		p.serveStream(x)
 		return
@@ -194,10 +198,8 @@
 			return fault.NotRun(fault.BadKey, "the key is not granted")
 		}
 	}
-	for _, s := range t.Destinations {
-		if s.Service == x.service.Name {
-			return nil
-		}
+	if t.Serves(x.service.Name) {
+		return nil
 	}
 	return p.notReadyFault("the route has moved to another service")
 }
--- a/entry/proxy/upstate.go
+++ b/entry/proxy/upstate.go
@@ -190,6 +190,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, u := range p.snapshot.Load().services[x.service.Name] {
+		if !x.accepts(u) {
+			continue
+		}
 		at := p.availableAt(now, u.Instance)
 		if !at.After(now) {
 			return nil
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -6,6 +6,7 @@
 
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/clock"
+	"cranberrypoint.example/coord/origin"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"github.com/sirupsen/logrus"
@@ -116,6 +117,7 @@
 			p.handleRosterChange(c)
 		}
 		p.upstreams.Set(p.roster.Listed())
+		p.seeVersions(now.time)
 	} else {
 		n.readAt, n.position = old.readAt, old.position
 	}
@@ -136,6 +138,15 @@
 	return nil
 }
 
+// seeVersions records the versions of the upstreams that are listed. p.mu must be held.
+func (p *Proxy) seeVersions(now time.Time) {
+	for _, u := range p.roster.Listed() {
+		if u.Version != "" {
+			p.versions.See(now, origin.Origin{Service: u.Service, Version: u.Version})
+		}
+	}
+}
+
 // usableUpstreams returns the upstreams of each service that may get new work. p.mu must be held.
 func (p *Proxy) usableUpstreams() map[string][]roster.Upstream {
 	m := map[string][]roster.Upstream{}
--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -13,6 +13,7 @@
 	"cranberrypoint.example/coord/digest"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/origin"
 	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/pause"
 	"cranberrypoint.example/coord/poison"
@@ -76,6 +77,8 @@
 		pauses:       pause.New(),
 		pacer:        pacer.New(nil),
 		poison:       poison.New(),
+		origins:      origin.NewTable(),
+		versions:     origin.NewHistory(),
 		leaving:      map[string]time.Time{},
 		heardLeaving: map[string]hearsay{},
 		mesh:         mesh.New(&wire.Member{Name: "z", Role: mesh.RoleEntry}, nil, links, log),
