router, fleet: an answer goes on only at its version on the OpenAI door

VMs may be listed with a version now, and an answer that has begun goes on only where it is the same; it waits for the engine where it failed if no other has that, and is failed at once if none is listed.

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -55,7 +55,9 @@
 	// Model is the model that an agent's engine serves. If Model is empty, the engine serves
 	// all models.
 	Model string `json:"model,omitempty"`
-	State State  `json:"state"`
+	// Version is that of the upstream's software. An answer doesn't go on at another one. It may be empty.
+	Version string `json:"version,omitempty"`
+	State   State  `json:"state"`
 	// CreatedRevision is the revision at which the platform added the VM to its list.
 	CreatedRevision uint64 `json:"-"`
 }
--- a/coord/router/place.go
+++ b/coord/router/place.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"cranberrypoint.example/coord/fault"
@@ -54,6 +55,7 @@
 	q.main = run{
 		ref:      RunRef{q.id, q.attempts, fleet.StageOf(stage)},
 		vm:       v.Name,
+		version:  v.Version,
 		live:     true,
 		openedAt: r.now,
 	}
@@ -74,6 +76,10 @@
 		r.fail(q, q.lastErr.WithRan(q.ran))
 		return
 	}
+	if r.isVersionGone(q, stage) {
+		r.fail(q, fault.NotRun(fault.VersionGone, "no upstream runs version %s, which began the answer", q.version).WithRan(q.ran))
+		return
+	}
 	next := r.now.Add(upstreamRetryDelay)
 	if !next.Before(q.latestStart()) || q.deduplicated() {
 		r.fail(q, r.noUpstreamError(q, stage))
@@ -85,6 +91,14 @@
 	clear(q.excluded)
 }
 
+// isVersionGone reports whether an answer has begun at a version that no live upstream has any more.
+func (r *Router) isVersionGone(q *request, stage string) bool {
+	if q.offset == 0 || stage == fleet.Prefill {
+		return false
+	}
+	return !slices.ContainsFunc(r.list.LiveAgents(q.service, stage, q.model()), func(v fleet.VM) bool { return q.accepts(v.Version) })
+}
+
 // noUpstreamError returns the error for a request that no upstream of a stage can run.
 func (r *Router) noUpstreamError(q *request, stage string) *fault.Error {
 	err := fault.NotRun(fault.Unreachable, "no %s upstream of service %s can be reached", stage, q.service)
@@ -135,6 +149,9 @@
 // in the cooldown after a failed contact, unless there are no others.
 func (r *Router) chooseUpstream(q *request, stage string) (fleet.VM, bool) {
 	fitting := r.list.LiveAgents(q.service, stage, q.model())
+	if q.offset > 0 && stage != fleet.Prefill {
+		fitting = excludeVMs(fitting, func(v fleet.VM) bool { return !q.accepts(v.Version) })
+	}
 	if len(q.excluded) > 0 {
 		fitting = excludeVMs(fitting, func(v fleet.VM) bool { return q.excluded[v.Name] })
 	}
--- a/coord/router/relay.go
+++ b/coord/router/relay.go
@@ -53,6 +53,9 @@
 		r.resumeOrRetry(q, t)
 		return
 	}
+	if q.offset == 0 {
+		q.version = t.version
+	}
 	assert.That(d.Offset == q.offset, "request %s: data at offset %d, want offset %d", q.name(), d.Offset, q.offset)
 	q.offset = end
 	q.outputTokens += int64(d.Tokens)
--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -32,6 +32,8 @@
 type run struct {
 	ref RunRef
 	vm  string
+	// version is that of the upstream's software.
+	version string
 	// live reports whether events of the run are still handled.
 	live bool
 	// resumes counts how often the run was resumed on a new stream.
@@ -81,7 +83,10 @@
 	offset       int64
 	written      int64
 	outputTokens int64
-	headSent     bool
+	// version is that of the upstream whose data was relayed first. What two versions write doesn't fit
+	// together.
+	version  string
+	headSent bool
 	// status is that of a plain answer; 0 if none has begun.
 	status int
 	usage  Usage
@@ -106,6 +111,9 @@
 // idempotent reports whether the request may be executed more than once.
 func (q *request) idempotent() bool { return q.usesModel || q.settings.Idempotent }
 
+// accepts reports whether the answer may go on at an upstream of a version.
+func (q *request) accepts(version string) bool { return q.offset == 0 || version == q.version }
+
 // deduplicated reports whether the request is deduplicated by its idempotency key. All
 // retries of such a request go to the same agent, which executes it at most once. An
 // idempotent request isn't deduplicated, even if it has an idempotency key.
