proxy: KV caches stay within a software version where they can

Prefill engines of the decode engine's version come first now, those that are said to leave last.

By the way the backlog that is returned, and from which the speed of prefills is estimated, no longer has a penalty of 2^40 tokens in it when a leaving engine is picked.

TestPrefillStaysWithinVersion is new.

--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -33,8 +34,15 @@
 	// leavingCost is added to the cost of an engine that is said to leave, so that all others come
 	// before it.
 	leavingCost = 1000.0
-	// leavingTokens is the backlog of prefill engines that are said to leave, in tokens.
-	leavingTokens = 1 << 40
+)
+
+// Ranks of prefill engines. Those with a lower rank come first, whatever their backlog; ranks add up.
+const (
+	// otherVersionRank is that of engines of another version than the decode engine's: what two versions write
+	// may not fit together, a KV cache included.
+	otherVersionRank = 1
+	// leavingRank is that of engines that are said to leave.
+	leavingRank = 2
 )
 
 // engineStats holds what an entry has observed of engines and callers.
@@ -199,24 +207,34 @@
 	return e.KVTokens
 }
 
-// pickPrefill returns the prefill engine with the smallest backlog, and that backlog in tokens.
-func (p *Proxy) pickPrefill(x *exchange, tried map[string]bool) (best candidate, backlog int64, ok bool) {
+// pickPrefill returns the prefill engine with the lowest rank and the smallest backlog, and that backlog in
+// tokens. version is that of the decode engine; empty if it isn't chosen yet.
+func (p *Proxy) pickPrefill(x *exchange, version string, tried map[string]bool) (best candidate, backlog int64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.candidates(x.service.Name, wire.Stage_STAGE_PREFILL, tried)
 	mean := meanBacklog(l)
+	var lowest int
 	for _, c := range l {
-		n := p.prefillBacklog(c, mean)
-		if p.isSaidToLeave(time.Now(), c.upstream.Instance) || c.state != nil && c.state.Leaving {
-			n += leavingTokens
-		}
-		if !ok || n < backlog {
-			best, backlog, ok = c, n, true
+		r, n := p.prefillRank(c, version), p.prefillBacklog(c, mean)
+		if !ok || cmp.Or(cmp.Compare(r, lowest), cmp.Compare(n, backlog)) < 0 {
+			best, lowest, backlog, ok = c, r, n, true
 		}
 	}
 	return best, backlog, ok
 }
 
+// prefillRank returns the rank of a prefill engine for a decode engine of a version. p.mu must be held.
+func (p *Proxy) prefillRank(c candidate, version string) (r int) {
+	if version != "" && c.upstream.Version != version {
+		r += otherVersionRank
+	}
+	if p.isSaidToLeave(time.Now(), c.upstream.Instance) || c.state != nil && c.state.Leaving {
+		r += leavingRank
+	}
+	return r
+}
+
 // meanBacklog returns the mean backlog in tokens of the engines whose agents are not silent.
 func meanBacklog(l []candidate) (mean int64) {
 	n := int64(0)
--- a/entry/proxy/engines_test.go
+++ b/entry/proxy/engines_test.go
@@ -71,3 +71,41 @@
 		}
 	}
 }
+
+// TestPrefillStaysWithinVersion checks the order of prefill engines: those of the decode engine's version first, among
+// equals the one with less to do, and those that are said to leave last. The backlog is that of the engine.
+func TestPrefillStaysWithinVersion(t *testing.T) {
+	p, x := newTestEntry(t, 0, 1, 0)
+	var l []roster.Upstream
+	for n, e := range map[string]struct {
+		version string
+		backlog int64
+		leaving bool
+	}{
+		"busy": {"v1", 5000, false}, "idle": {"v1", 3000, false}, "other": {"v2", 100, false}, "leaves": {"v1", 0, true}, "other-leaves": {"v2", 0, true},
+	} {
+		l = append(l, roster.Upstream{Instance: n, Address: n, Stage: wire.Stage_STAGE_PREFILL, Version: e.version})
+		p.subscriptions[n] = &subscription{receivedAt: time.Now(), state: &wire.PlaceState{Stage: wire.Stage_STAGE_PREFILL, Sound: true, Backlog: e.backlog, Leaving: e.leaving}}
+	}
+	p.snapshot.Store(&snapshot{services: map[string][]roster.Upstream{"llm": l}})
+	type pick struct {
+		Instance string
+		Backlog  int64
+	}
+	for version, want := range map[string][]pick{
+		"v1": {{"idle", 3000}, {"busy", 5000}, {"other", 100}, {"leaves", 0}, {"other-leaves", 0}},
+		"v2": {{"other", 100}, {"idle", 3000}, {"busy", 5000}, {"other-leaves", 0}, {"leaves", 0}},
+		"":   {{"other", 100}, {"idle", 3000}, {"busy", 5000}},
+	} {
+		tried := map[string]bool{}
+		var got []pick
+		for range want {
+			c, n, _ := p.pickPrefill(x, version, tried)
+			got = append(got, pick{c.upstream.Instance, n})
+			tried[c.upstream.Instance] = true
+		}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Errorf("decode engine of version %q (-want +got):\n%s", version, d)
+		}
+	}
+}
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -42,7 +42,7 @@
 // prefillEstimate returns how long the prefill is expected to take on a prefill engine and on a
 // decode engine, and the time that is left for it.
 func (p *Proxy) prefillEstimate(x *exchange) place.PrefillEstimate {
-	_, backlog, ok := p.pickPrefill(x, nil)
+	_, backlog, ok := p.pickPrefill(x, "", nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := place.PrefillEstimate{
@@ -91,7 +91,7 @@
 // prefillRemotely has the prompt prefilled by a prefill engine. It returns the KV cache, or none
 // if the decode engine should prefill the prompt itself.
 func (p *Proxy) prefillRemotely(x *exchange, res reservation) (k kvCache) {
-	c, backlog, ok := p.pickPrefill(x, map[string]bool{res.candidate.upstream.Instance: true})
+	c, backlog, ok := p.pickPrefill(x, res.candidate.upstream.Version, map[string]bool{res.candidate.upstream.Instance: true})
 	if !ok {
 		return k
 	}
