feed, edge: entries of the OpenAI door share what crashes upstreams

The evidence goes with the digests that all processes exchange now, agents included, as it does with the gossip on the other door.

--- a/coord/feed/feed.go
+++ b/coord/feed/feed.go
@@ -17,6 +17,7 @@
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/fleet"
 	"cranberrypoint.example/coord/link"
+	"cranberrypoint.example/coord/rumor"
 	"cranberrypoint.example/coord/spread"
 	"cranberrypoint.example/coord/tasks"
 	"cranberrypoint.example/coord/tree"
@@ -80,6 +81,8 @@
 	onAdopt         func(*tree.Tree, *fleet.List)
 	onAuthorization func(spread.Authorization)
 	client          *http.Client
+	// rumors go with each digest.
+	rumors rumor.Rumors
 
 	mu sync.Mutex
 	// syncer is the reducer.
@@ -100,6 +103,13 @@
 	Incarnation uint64
 }
 
+// Option configures a Feed.
+type Option func(*Feed)
+
+// WithRumors sets what processes learn from each other besides the configuration. Without it, a feed only passes on
+// what it hears.
+func WithRumors(r rumor.Rumors) Option { return func(f *Feed) { f.rumors = r } }
+
 // New starts a feed and returns it with a function that stops it. Platform is the base
 // URL of the platform, seeds are the addresses of peers to exchange with before the list
 // of VMs is known.
@@ -110,7 +120,7 @@
 // nil, whenever the permission that this VM has to act on the list of VMs changes. A VM
 // needs it to hold part of a workspace's rate limit; see spread.Authorization. Both are
 // called with the feed's mutex locked: one call at a time, and they must not call the feed.
-func New(id Identity, platform string, seeds []string, p *link.Pool, l logrus.FieldLogger, onAdopt func(*tree.Tree, *fleet.List), onAuthorization func(spread.Authorization)) (f *Feed, stop func()) {
+func New(id Identity, platform string, seeds []string, p *link.Pool, l logrus.FieldLogger, onAdopt func(*tree.Tree, *fleet.List), onAuthorization func(spread.Authorization), opts ...Option) (f *Feed, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f = &Feed{
 		platform:        platform,
@@ -122,6 +132,10 @@
 		syncer:          spread.New(time.Now(), id.VM, id.DataCentre, id.Incarnation, seeds),
 		replies:         map[uint64]chan *wire.Digest{},
 		ctx:             ctx,
+		rumors:          rumor.New(),
+	}
+	for _, o := range opts {
+		o(f)
 	}
 	f.tasks.Go(f.runTicker)
 	return f, func() {
@@ -242,13 +256,22 @@
 // exchange sends a digest to a peer and passes the answer to the reducer, a nil digest
 // if the call failed.
 func (f *Feed) exchange(x spread.Exchange) {
+	x.Digest.Rumors = f.rumors.Report(time.Now())
 	d, err := link.Call(f.ctx, f.pool, x.Address, link.Exchange, x.Digest)
 	if err != nil {
 		d = nil
 	}
+	f.merge(d)
 	f.step(spread.ExchangeAnswered{Address: x.Address, Digest: d, SentAt: x.SentAt})
 }
 
+// merge adds the rumors in a peer's digest.
+func (f *Feed) merge(d *wire.Digest) {
+	if r := d.GetRumors(); r != nil {
+		f.rumors.Merge(time.Now(), r)
+	}
+}
+
 // Exchange implements the RPC of that name: it takes a peer's digest and returns the
 // digest that answers it. It fails only if ctx ends or the feed is stopped.
 func (f *Feed) Exchange(ctx context.Context, d *wire.Digest) (*wire.Digest, error) {
@@ -258,9 +281,11 @@
 	id := f.lastExchangeID
 	f.replies[id] = c
 	f.mu.Unlock()
+	f.merge(d)
 	f.step(spread.ExchangeRequested{ExchangeID: id, Digest: d})
 	select {
 	case a := <-c:
+		a.Rumors = f.rumors.Reply(time.Now(), d.Rumors)
 		return a, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/coord/poison/exchange.go
+++ b/coord/poison/exchange.go
@@ -83,7 +83,7 @@
 }
 
 func (e *evidence) encode(now time.Time) *wire.Suspect {
-	s := &wire.Suspect{Part: string(e.key)}
+	s := &wire.Suspect{Key: string(e.key)}
 	for u, at := range e.ends {
 		s.Ends = append(s.Ends, &wire.UpstreamEnd{Upstream: u, AgeMicros: now.Sub(at).Microseconds()})
 	}
@@ -99,9 +99,9 @@
 	defer t.mu.Unlock()
 	for _, s := range l {
 		for _, x := range s.Ends {
-			urgent = t.add(now, Key(s.Part), x.Upstream, before(now, x.AgeMicros)) || urgent
+			urgent = t.add(now, Key(s.Key), x.Upstream, before(now, x.AgeMicros)) || urgent
 		}
-		e := t.cases[Key(s.Part)]
+		e := t.cases[Key(s.Key)]
 		if e == nil || !s.Sound {
 			continue
 		}
--- a/coord/poison/poison_test.go
+++ b/coord/poison/poison_test.go
@@ -196,7 +196,7 @@
 // TestMalformedEvidence checks that evidence from other processes that makes no sense does no harm.
 func TestMalformedEvidence(t *testing.T) {
 	x := New()
-	x.Merge(at(0), []*wire.Suspect{{}, {Part: "a", Sound: true}, {Part: "b", Ends: []*wire.UpstreamEnd{{AgeMicros: -1 << 62}, {Upstream: "u", AgeMicros: 1 << 62}}}})
+	x.Merge(at(0), []*wire.Suspect{{}, {Key: "a", Sound: true}, {Key: "b", Ends: []*wire.UpstreamEnd{{AgeMicros: -1 << 62}, {Upstream: "u", AgeMicros: 1 << 62}}}})
 	if q, ok := x.Check(at(1), []Key{"a", "b", ""}); ok {
 		t.Errorf("quarantined: %v", q)
 	}
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -83,6 +83,9 @@
 	return func(r *Router) { r.vm, r.dataCentre = vm, dataCentre }
 }
 
+// WithPoison sets the table of what upstreams ended under, which other entries share.
+func WithPoison(t *poison.Table) Option { return func(r *Router) { r.poison = t } }
+
 // New returns a Router without settings or VMs. The seed drives the random choice of
 // upstreams and makes the names of reservations unique.
 func New(seed uint64, opts ...Option) *Router {
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -23,6 +23,7 @@
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/coord/router"
+	"cranberrypoint.example/coord/rumor"
 	"cranberrypoint.example/coord/tasks"
 	"cranberrypoint.example/coord/trace"
 	"cranberrypoint.example/coord/tree"
@@ -52,11 +53,14 @@
 
 // Edge is a running entry.
 type Edge struct {
-	settings       Settings
-	log            logrus.FieldLogger
-	trace          *trace.Log
-	metrics        *metrics
-	feed           *feed.Feed
+	settings Settings
+	log      logrus.FieldLogger
+	trace    *trace.Log
+	metrics  *metrics
+	feed     *feed.Feed
+	// rumors are what entries learn from each other besides the configuration. The router uses
+	// the same tables.
+	rumors         rumor.Rumors
 	pool           *link.Pool
 	httpServer     *http.Server
 	callersAddress string
@@ -88,7 +92,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
 	pool, closePool := link.NewPool(k.TLS)
-	opts := []router.Option{router.WithVM(s.VM, s.DataCentre)}
+	rumors := rumor.New()
+	opts := []router.Option{router.WithVM(s.VM, s.DataCentre), router.WithPoison(rumors.Poison)}
 	if s.Policy != nil {
 		opts = append(opts, router.WithPolicy(*s.Policy))
 	}
@@ -104,6 +109,7 @@
 		startedAt:      now,
 		ctx:            ctx,
 		router:         router.New(uint64(now.UnixNano()), opts...),
+		rumors:         rumors,
 		vms:            fleet.NewList(0, nil),
 		queues:         map[router.RequestID]*effectQueue{},
 		streams:        map[router.RunRef]*runStream{},
@@ -125,7 +131,7 @@
 	s := &e.settings
 	id := feed.Identity{VM: s.VM, DataCentre: s.DataCentre, Incarnation: uint64(e.startedAt.UnixNano())}
 	var stopFeed func()
-	e.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), e.pool, e.log, e.applyConfig, nil)
+	e.feed, stopFeed = feed.New(id, s.Platform, s.PeerList(), e.pool, e.log, e.applyConfig, nil, feed.WithRumors(e.rumors))
 	e.metrics.registry.MustRegister(e.feed.Counts.Collectors(opsrv.Namespace)...)
 	stopOps := opsrv.Serve(k.Ops, e.metrics.registry, e.trace, e.Status)
 	e.httpServer = &http.Server{
--- a/local/world/poison_test.go
+++ b/local/world/poison_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"cranberrypoint.example/local/stand"
 	"cranberrypoint.example/local/world"
@@ -12,12 +15,12 @@
 // maxCrashes is the number of upstreams that may crash under one request before it is refused.
 const maxCrashes = 3
 
-// startCrashing starts a deployment with one entry and several plain services, which crash under requests with a
-// body and stay down. It returns a function that counts the crashes.
-func startCrashing(t *testing.T, body string) (w *world.World, crashes func() int) {
+// startCrashing starts a deployment with some entries and plain services, which crash under requests with a body and
+// stay down. It returns a function that returns when they crashed.
+func startCrashing(t *testing.T, body string, entries, plain int) (w *world.World, crashes func() []time.Time) {
 	t.Helper()
 	p := world.Example("")
-	p.DataCentres = []world.DataCentre{{Name: "east", Entries: 1, Prefill: 1, Decode: 1, Plain: maxCrashes + 2}}
+	p.DataCentres = []world.DataCentre{{Name: "east", Entries: entries, Prefill: 1, Decode: 1, Plain: plain}}
 	w, stop, err := world.Start(p, world.Quiet())
 	if err != nil {
 		t.Fatal(err)
@@ -28,18 +31,18 @@
 		return call(t, w, "POST", "/decisions/warm", world.ExampleKey, "").status == http.StatusOK
 	})
 	var mu sync.Mutex
-	n := 0
+	var l []time.Time
 	for name, s := range w.Services {
 		setCrash(w, name, s, body, func() {
 			mu.Lock()
 			defer mu.Unlock()
-			n++
+			l = append(l, time.Now())
 		})
 	}
-	return w, func() int {
+	return w, func() []time.Time {
 		mu.Lock()
 		defer mu.Unlock()
-		return n
+		return slices.Clone(l)
 	}
 }
 
@@ -59,11 +62,11 @@
 func TestPlainRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
 	for _, path := range []string{"/status/x?a=b", "/decisions/x?a=b"} {
 		t.Run(path, func(t *testing.T) {
-			w, crashes := startCrashing(t, "bad")
+			w, crashes := startCrashing(t, "bad", 1, maxCrashes+2)
 			for range 2 * maxCrashes {
 				call(t, w, "POST", path, world.ExampleKey, "bad")
 			}
-			if n := crashes(); n != maxCrashes {
+			if n := len(crashes()); n != maxCrashes {
 				t.Errorf("%d upstreams crashed, want %d", n, maxCrashes)
 			}
 			if a := call(t, w, "POST", path, world.ExampleKey, "bad"); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
@@ -75,3 +78,51 @@
 		})
 	}
 }
+
+const (
+	// contactTime is the time that processes have to learn from each other.
+	contactTime = 3 * time.Second
+	// repeatPause is the time from one request to the next.
+	repeatPause = 800 * time.Millisecond
+	// maxLateCrashes is the number of upstreams that may crash from contactTime after the third crash.
+	maxLateCrashes = 3
+)
+
+// TestEntriesShareWhatCrashesUpstreams sends a request that crashes upstreams to one entry after the other. Each of
+// them alone would have to see three crashes.
+func TestEntriesShareWhatCrashesUpstreams(t *testing.T) {
+	const entries = 4
+	w, crashes := startCrashing(t, "bad", entries, 2*entries*maxCrashes)
+	for range maxCrashes {
+		for _, n := range w.Order {
+			sendTo(t, w.Entries[n].CallersAddress(), "/decisions/x", "bad")
+			time.Sleep(repeatPause)
+		}
+	}
+	l := crashes()
+	if len(l) < maxCrashes {
+		t.Fatalf("%d upstreams crashed; the request does nothing", len(l))
+	}
+	late := 0
+	for _, c := range l {
+		if c.After(l[maxCrashes-1].Add(contactTime)) {
+			late++
+		}
+	}
+	if late > maxLateCrashes {
+		t.Errorf("%d of %d upstreams crashed later than %s after the third, want at most %d", late, len(l), contactTime, maxLateCrashes)
+	}
+}
+
+// sendTo sends a request to an entry, whatever comes of it.
+func sendTo(t *testing.T, entry, path, body string) {
+	t.Helper()
+	q, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("Authorization", "Bearer "+world.ExampleKey)
+	if a, err := http.DefaultClient.Do(q); err == nil {
+		_ = a.Body.Close()
+	}
+}
