proxy: versions in the list that is in force count, however old it is

An entry that couldn't read the store for longer than a stream may last would have taken a resumed stream of unknown origin for one of a service without versions, and let it go on anywhere. Found by reading the change; TestVersionsOfOldListCount failed before (no version seen).

--- a/entry/proxy/peers_test.go
+++ b/entry/proxy/peers_test.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// TestVersionsOfOldListCount checks that an entry which hasn't read a list for long still knows that its upstreams are of
+// two versions.
+func TestVersionsOfOldListCount(t *testing.T) {
+	e := newSimEntry(t)
+	mustAdopt(t, e, time.Now().Add(-time.Hour), calls.Listing{Rules: mustRules(t, 7), Revision: 1, Upstreams: []roster.Upstream{
+		{Instance: "a", Service: "s", Address: "1", Version: "v1"}, {Instance: "b", Service: "s", Address: "2", Version: "v2"},
+	}})
+	r, err := e.FindOrigin(t.Context(), &wire.FindOriginRequest{Request: "r", Service: "s", WithinMicros: time.Second.Microseconds()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff([]string{"v1", "v2"}, r.Seen); d != "" {
+		t.Errorf("versions seen (-want +got):\n%s", d)
+	}
+}
+
 // TestHearsayPrefersOthers checks that an upstream which another entry has heard leaving is used only if
 // there is no other, that the word is passed on once, and that it expires.
 func TestHearsayPrefersOthers(t *testing.T) {
--- a/entry/proxy/resume.go
+++ b/entry/proxy/resume.go
@@ -90,7 +90,7 @@
 		p.origins.Note(time.Now(), x.call.Resumes, a.origin)
 		return a.origin, originAsked, nil
 	}
-	versions := append(a.seen, p.versions.Since(time.Now().Add(-x.streamTime()), x.service.Name)...)
+	versions := append(a.seen, p.versionsWithin(x.streamTime(), x.service.Name)...)
 	slices.Sort(versions)
 	versions = slices.Compact(versions)
 	if len(versions) <= 1 && len(x.route.Destinations) == 1 {
@@ -227,6 +227,16 @@
 // FindOrigin tells another entry where a stream began, and which versions this entry has seen.
 func (p *Proxy) FindOrigin(_ context.Context, q *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
 	r := p.origins.HandleFind(q)
-	r.Seen = p.versions.Since(time.Now().Add(-micros(q.WithinMicros)), q.Service)
+	r.Seen = p.versionsWithin(micros(q.WithinMicros), q.Service)
 	return r, nil
 }
+
+// versionsWithin returns the versions that upstreams of a service have had within a time up to now. The list that is in
+// force counts, however old it is.
+func (p *Proxy) versionsWithin(d time.Duration, service string) []string {
+	now := time.Now()
+	p.mu.Lock()
+	p.seeVersions(now)
+	p.mu.Unlock()
+	return p.versions.Since(now.Add(-d), service)
+}
