proxy: a whole list isn't taken for a change to the one in force

An entry that asks for the whole list, since versions are missing in its own, may get it as changes since the empty list. They were held against the list in force and dropped. Found by reading; the test of mixed releases failed with "the other entry knows nothing newer".

--- a/entry/proxy/learn.go
+++ b/entry/proxy/learn.go
@@ -139,12 +139,16 @@
 		return l, err
 	}
 	p.mu.Lock()
-	if !d.Full && p.upstreams.Hash() != q.Hash {
+	base := p.upstreams
+	if q.Hash == 0 {
+		base = digest.New()
+	}
+	if base.Hash() != q.Hash {
 		// Another listing was adopted during the call.
 		p.mu.Unlock()
 		return l, errNoRecentData
 	}
-	l.Upstreams, err = p.upstreams.Applied(d)
+	l.Upstreams, err = base.Applied(d)
 	l.Upstreams = withKnownVersions(l.Upstreams, p.upstreams.List())
 	p.mu.Unlock()
 	if err != nil {
--- a/entry/proxy/peers_test.go
+++ b/entry/proxy/peers_test.go
@@ -109,9 +109,24 @@
 	if d := cmp.Diff([]roster.Upstream{known, fresh}, e.snapshot.Load().services["s"]); d != "" {
 		t.Errorf("upstreams (-want +got):\n%s", d)
 	}
-	if d := cmp.Diff(uint64(0), e.listRequest(e.snapshot.Load()).Hash); d != "" {
+	old = e.snapshot.Load()
+	q = e.listRequest(old)
+	if d := cmp.Diff(uint64(0), q.Hash); d != "" {
 		t.Errorf("hash in a request with a version missing (-want +got):\n%s", d)
 	}
+	fresh.Version = "v2"
+	other := newSimEntry(t)
+	mustAdopt(t, other, now, calls.Listing{Rules: mustRules(t, 7), Revision: 3, Upstreams: []roster.Upstream{known, fresh}})
+	a, err := other.listAt(now, q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.adoptReply(momentAt(now), q, old, a, momentAt(now).instant); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff([]roster.Upstream{known, fresh}, e.snapshot.Load().services["s"]); d != "" {
+		t.Errorf("upstreams after a reply with all versions (-want +got):\n%s", d)
+	}
 }
 
 // TestVersionsOfOldListCount checks that an entry which hasn't read a list for long still knows that its upstreams are of
