proxy: streams that go on after a break come first at engines

A stream that goes on may use only the engines of its version, counted as late because its caller had waited, and so came after all new ones.

--- a/entry/proxy/reserve.go
+++ b/entry/proxy/reserve.go
@@ -32,9 +32,22 @@
 	err         error
 }
 
+// resumedPriority is that of a stream that goes on after a break, less that of its request: it comes before all that
+// begin, among equals in their order. It can go on only at a part of the engines, after a break many streams come
+// back at once, and what its caller has already is lost if it doesn't.
+const resumedPriority = -1 << 16
+
+// reservationPriority returns the priority of a request among those that wait for a place at an engine.
+func (p *Proxy) reservationPriority(x *exchange) int32 {
+	if x.isResumed() {
+		return int32(resumedPriority + p.priority(x))
+	}
+	return int32(p.priority(x))
+}
+
 // reservationDeadlines returns the latest times to grant a reservation if the prefill takes the
 // given time: startBy for the answer to begin on time, and expiresAt for it to begin before the
-// caller gives up.
+// caller gives up. A stream that goes on after a break is never late: its caller has the beginning.
 func (p *Proxy) reservationDeadlines(x *exchange, prefill time.Duration) (startBy, expiresAt time.Time) {
 	startBy = x.prefillDeadline.Add(-prefill)
 	wait := max(minStreamTimeout, streamTimeoutLatencyFactor*x.route.TargetLatency, streamTimeoutGapFactor*x.route.TargetGap)
@@ -42,6 +55,9 @@
 	if d := x.deadline.Add(-prefill - streamTimeoutMargin); d.Before(expiresAt) {
 		expiresAt = d
 	}
+	if x.isResumed() {
+		startBy = expiresAt
+	}
 	return startBy, expiresAt
 }
 
@@ -165,7 +181,7 @@
 		Request:        x.call.ID,
 		Prompt:         x.call.PromptTokens,
 		Most:           x.call.MaxTokens,
-		Priority:       int32(p.priority(x)),
+		Priority:       p.reservationPriority(x),
 		TimelyMicros:   max(0, time.Until(startBy)).Microseconds(),
 		PatienceMicros: max(0, time.Until(expiresAt)).Microseconds(),
 		Slots:          int32(x.service.Engine.Slots),
