limits, proxy: streams that go on after a break may use the slack of their limit

A stream that goes on is granted now if that doesn't take the bucket below the level to which one large request may take it today, so the bound over a window is unchanged. TestResumedStreamsUseSlack fails with Take for both.

--- a/coord/limits/limits.go
+++ b/coord/limits/limits.go
@@ -112,11 +112,27 @@
 // can be granted.
 func (l *Limiter) Take(now time.Time, workspace string, lim Limit, tokens int64) (ok bool, wait time.Duration) {
 	b := l.bucket(now, workspace, lim)
+	return b.take(tokens, max(b.levelFor(tokens), 1))
+}
+
+// TakeToResume is Take for a stream that goes on after a break. It answers breaks that end many streams of a
+// workspace at once while it is at its limit: they come back together, find the bucket empty, and what their callers
+// have of them is lost. They may use the slack also if the level is below 0. The level falls no lower than by Take.
+func (l *Limiter) TakeToResume(now time.Time, workspace string, lim Limit, tokens int64) (ok bool, wait time.Duration) {
+	b := l.bucket(now, workspace, lim)
+	return b.take(tokens, b.levelFor(tokens))
+}
+
+// levelFor returns the level at which a request takes the bucket to its lowest level.
+func (b *bucket) levelFor(tokens int64) float64 {
+	return min(float64(tokens)-bucketSlackShare*b.limit.Slack, b.limit.Burst)
+}
+
+// take takes tokens if the level isn't below one; otherwise wait is the time until it isn't.
+func (b *bucket) take(tokens int64, need float64) (ok bool, wait time.Duration) {
 	if b.limit.Rate <= 0 {
 		return true, 0
 	}
-	need := float64(tokens) - bucketSlackShare*b.limit.Slack
-	need = min(max(need, 1), b.limit.Burst)
 	if b.level < need {
 		return false, time.Duration((need - b.level) / b.limit.refillRate() * float64(time.Second))
 	}
--- a/coord/limits/limits_test.go
+++ b/coord/limits/limits_test.go
@@ -300,3 +300,31 @@
 	b.level -= float64(n)
 	return true
 }
+
+// TestResumedStreamsUseSlack lets a workspace send more than its limit, and then take up streams that broke off. They are
+// granted more often than new ones, and the level never falls lower.
+func TestResumedStreamsUseSlack(t *testing.T) {
+	const tokens, streams, step = 17000, 2000, 20 * time.Millisecond
+	l := New()
+	granted := map[bool]int{}
+	lowest := 0.0
+	now := start
+	for i := range streams {
+		now = now.Add(step)
+		resumes := i%10 == 0
+		take := l.Take
+		if resumes {
+			take = l.TakeToResume
+		}
+		if ok, _ := take(now, "w", testLimit, tokens); ok {
+			granted[resumes]++
+		}
+		lowest = min(lowest, l.buckets["w"].level)
+	}
+	if granted[true]*9 < 2*granted[false] {
+		t.Errorf("%d of %d resumed streams and %d of %d new ones were granted, want twice the share", granted[true], streams/10, granted[false], streams*9/10)
+	}
+	if least := -bucketSlackShare * testLimit.Slack; lowest < least {
+		t.Errorf("the level fell to %.0f, want at least %.0f", lowest, least)
+	}
+}
--- a/entry/proxy/limit.go
+++ b/entry/proxy/limit.go
@@ -92,6 +92,7 @@
 // limits.Limit.OwnerlessShare.
 func (p *Proxy) takeFromOwner(x *exchange, n int64) (ok bool, wait time.Duration) {
 	q := newTakeRequest(x.workspace, n, x.record.configVersion)
+	q.Resumes = x.isResumed()
 	for i, o := range p.ownerAndStandIn(x.workspace.Name) {
 		q.StandIn = i > 0
 		if o == p.settings.VM {
@@ -135,6 +136,9 @@
 func (p *Proxy) takeFromBucket(l *limits.Limiter, q *wire.TakeRequest, limit limits.Limit) (ok bool, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if q.Resumes {
+		return l.TakeToResume(time.Now(), q.Workspace, limit, q.Tokens)
+	}
 	return l.Take(time.Now(), q.Workspace, limit, q.Tokens)
 }
 
--- a/entry/proxy/limit_test.go
+++ b/entry/proxy/limit_test.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		x.r = httptest.NewRequest("GET", "/", nil)
-		x.workspace = &rules.Workspace{Name: "w", Rate: 1, Burst: burst}
+		x.route, x.workspace = &rules.Route{}, &rules.Workspace{Name: "w", Rate: 1, Burst: burst}
 		for ok := true; ok; granted++ {
 			ok, _ = p.takeFromOwner(x, size)
 		}
