proxy, evac: evacuated data centres get nothing

Cause: the operator's key of an evacuation was never read; only the configuration and the registrations were.

Ruled out: marking the upstreams as leaving (final for a start, connections closed), a list in the configuration (published apart), gossip alone for entries (a second word without the listing's age).

Change: coord/evac orders lists by their position in the store and keeps what a restored store has lost; entries read it with the store and pass it on with the listing, agents learn of it by gossip and give no orders there. Services with no other upstreams refuse at once. A data centre that is taken back takes part in choices step by step.

Tests seen to fail on the code before: TestEvacuatedDataCentreGetsNothing (requests reached the data centre), TestAllDataCentresEvacuated. The stand-in entry of watch_test.go sends evacuations, as entries of this release do.

--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -10,6 +10,7 @@
 
 	"cranberrypoint.example/coord/admit"
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/evac"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
@@ -57,6 +58,8 @@
 	// startedAt is the agent's incarnation: in milliseconds in its membership record, in
 	// nanoseconds in its status.
 	startedAt time.Time
+	// evac holds the evacuated data centres, as other members say.
+	evac *evac.Table
 }
 
 // Start runs an agent and returns a function that stops it.
@@ -76,7 +79,8 @@
 	links, closeLinks := link.NewPool(nil, link.WithPing(mesh.Ping))
 	conns, closeConns := upconn.NewPool(nil)
 	registry := opsrv.NewRegistry()
-	e = &EngineAgent{settings: s, startedAt: now, origins: origin.NewTable()}
+	rumors := rumor.New()
+	e = &EngineAgent{settings: s, startedAt: now, origins: origin.NewTable(), evac: rumors.Evac}
 	self := &wire.Member{
 		Name:        s.VM,
 		Role:        mesh.RoleAgent,
@@ -87,7 +91,7 @@
 		Incarnation: now.UnixMilli(),
 	}
 	// What entries have learned of upstreams outlives entries that are killed together.
-	e.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(e.updateMember), mesh.WithRumors(rumor.New()))
+	e.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(e.updateMember), mesh.WithRumors(rumors))
 	var stopEngine func()
 	e.engine, stopEngine = admit.Start(admit.Settings{
 		VM:        s.VM,
@@ -99,6 +103,7 @@
 		Metrics:   admit.NewMetrics(registry),
 		Log:       s.Log,
 		Peers:     e.peers,
+		MayOrder:  func() bool { return !e.evac.Contains(s.DataCentre) },
 		Fence:     e.mesh.NextFence,
 	})
 	stopMesh := e.mesh.Start()
@@ -141,10 +146,11 @@
 	}
 }
 
-// peers returns the engines of the other live agents of the service.
+// peers returns the engines of the other live agents of the service, without those in evacuated
+// data centres.
 func (e *EngineAgent) peers() (l []stages.Peer) {
 	for _, m := range e.mesh.Live(mesh.RoleAgent) {
-		if m.Service == e.settings.Service {
+		if m.Service == e.settings.Service && !e.evac.Contains(m.DataCentre) {
 			l = append(l, stages.Peer{Name: m.Name, Stage: m.Stage})
 		}
 	}
--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -81,6 +81,8 @@
 	// MayCall reports whether the engine may be called now; nil for always. The pauses that the
 	// engine asks the manager itself for are kept in any case.
 	MayCall func() bool
+	// MayOrder reports whether the engine may be given orders now; nil for always.
+	MayOrder func() bool
 	// Fence returns a fencing token that is greater than those of earlier holders. Tokens grow
 	// with each call.
 	Fence func() int64
--- a/coord/admit/engine.go
+++ b/coord/admit/engine.go
@@ -150,6 +150,9 @@
 // decideStage decides, from the stages of the service's other engines, whether this engine
 // should serve another stage. If so, it sends the engine an order to change.
 func (m *Manager) decideStage() {
+	if m.settings.MayOrder != nil && !m.settings.MayOrder() {
+		return
+	}
 	peers := m.settings.Peers()
 	now := time.Now()
 	m.mu.Lock()
--- a/coord/calls/calls.go
+++ b/coord/calls/calls.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"cranberrypoint.example/coord/evac"
 	"cranberrypoint.example/coord/place"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
@@ -178,6 +179,12 @@
 	// Revision is the store's revision when List began to read. Items that are read later may
 	// be newer. The same revision may be given out again in a later epoch.
 	Revision uint64
+	// Evacuated are the data centres whose upstreams get no new work. LacksEvacuated is true if the
+	// listing comes from an entry of an earlier release, which doesn't know them.
+	Evacuated      []string
+	LacksEvacuated bool
+	// KeptEvacuations are those that another entry keeps although a restored store has lost them.
+	KeptEvacuations []evac.Kept
 	// InvalidEntries counts the upstreams in the store that are left out of Upstreams because
 	// they can't be parsed or are invalid.
 	InvalidEntries int
--- a/coord/opsrv/metrics.go
+++ b/coord/opsrv/metrics.go
@@ -35,6 +35,14 @@
 	return c
 }
 
+// Gauges creates a gauge vector with the labels and registers it. It panics if the name is
+// already registered.
+func Gauges(r prometheus.Registerer, name, help string, labels ...string) *prometheus.GaugeVec {
+	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}, labels)
+	r.MustRegister(g)
+	return g
+}
+
 // Latency creates a histogram of durations in seconds and registers it. It panics if the
 // name is already registered.
 func Latency(r prometheus.Registerer, name, help string) prometheus.Histogram {
--- a/coord/rumor/rumor.go
+++ b/coord/rumor/rumor.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"cranberrypoint.example/coord/evac"
 	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/wire"
@@ -14,16 +15,25 @@
 type Rumors struct {
 	Poison *poison.Table
 	Pacer  *pacer.Table
+	Evac   *evac.Table
+	// ReadsStore is true if the process gets the evacuations from the store or with listings, and
+	// only passes them on here.
+	ReadsStore bool
 }
 
 // New returns rumors with empty tables, of a process that uses no limits itself.
 func New() Rumors {
-	return Rumors{Poison: poison.New(), Pacer: pacer.New(pacer.NoShare)}
+	return Rumors{Poison: poison.New(), Pacer: pacer.New(pacer.NoShare), Evac: evac.New()}
 }
 
 // Report returns what is new, for any other member.
 func (r Rumors) Report(now time.Time) *wire.Rumors {
-	return &wire.Rumors{Suspects: r.Poison.Recent(now), SuspectsHash: r.Poison.Hash(now), Limits: r.Pacer.Report(now)}
+	return &wire.Rumors{
+		Suspects:     r.Poison.Recent(now),
+		SuspectsHash: r.Poison.Hash(now),
+		Limits:       r.Pacer.Report(now),
+		Evacuations:  r.Evac.Report(now),
+	}
 }
 
 // Reply returns what the sender of a request should know: all evidence, if it has other evidence than this
@@ -39,5 +49,8 @@
 // Merge adds what another member knows. It reports whether others should hear of it at once.
 func (r Rumors) Merge(now time.Time, m *wire.Rumors) (urgent bool) {
 	r.Pacer.Merge(now, m.Limits)
+	if !r.ReadsStore {
+		r.Evac.Merge(now, m.Evacuations)
+	}
 	return r.Poison.Merge(now, m.Suspects)
 }
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -132,7 +132,7 @@
 			l = append(l, c)
 		}
 	}
-	return l
+	return orAll(l, func(c candidate) bool { return !p.isReturning(now, c.upstream) })
 }
 
 // pickDecode returns the decode engine that is expected to grant a reservation first, and whether
--- a/entry/proxy/learn.go
+++ b/entry/proxy/learn.go
@@ -10,6 +10,7 @@
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/digest"
+	"cranberrypoint.example/coord/evac"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/roster"
@@ -115,6 +116,7 @@
 	if err != nil {
 		return err
 	}
+	l.KeptEvacuations = evac.DecodeKept(now.time, a.Evacuations)
 	p.metrics.entryListings.Inc()
 	p.mu.Lock()
 	p.hear(now.time, a.Leaving, false)
@@ -134,6 +136,7 @@
 // upstreams, and takes the configuration from the reply, or from old if the reply has none.
 func (p *Proxy) mergeListing(q *wire.ListRequest, old *snapshot, a *wire.ListReply) (l calls.Listing, err error) {
 	l.Epoch, l.Revision, l.RulesEpoch = a.Epoch, a.Revision, a.ConfigEpoch
+	l.Evacuated, l.LacksEvacuated = a.Evacuations.GetDataCentres(), a.Evacuations == nil
 	var d digest.Delta
 	if err := json.Unmarshal(a.Delta, &d); err != nil {
 		return l, err
@@ -195,6 +198,9 @@
 	if q.Version != v.rules.Version() || q.ConfigHash != 0 && q.ConfigHash != v.configHash {
 		a.Config = v.config
 	}
+	if v.knowsEvacuations() {
+		a.Evacuations = p.evac.Encode(now)
+	}
 	a.Delta, err = json.Marshal(d)
 	return a, err
 }
--- a/entry/proxy/manage.go
+++ b/entry/proxy/manage.go
@@ -23,7 +23,7 @@
 	stop    func()
 }
 
-// engineView returns what the choice of managers depends on.
+// engineView returns what the choice of managers depends on. p.mu must be held.
 func (p *Proxy) engineView(entries, agents []*wire.Member) assign.View {
 	v := assign.View{
 		Self:     assign.Entry{Name: p.settings.VM, Capacity: p.settings.Capacity},
@@ -35,15 +35,13 @@
 	for _, m := range agents {
 		v.HasAgent[m.Upstream] = true
 	}
-	s := p.snapshot.Load()
-	if s == nil {
+	if p.snapshot.Load() == nil {
 		return v
 	}
-	for _, l := range s.services {
-		for _, u := range l {
-			if u.Stage == wire.Stage_STAGE_PREFILL || u.Stage == wire.Stage_STAGE_DECODE {
-				v.Engines = append(v.Engines, u)
-			}
+	// Engines in evacuated data centres keep their managers, which count the runs that go on there.
+	for _, u := range p.roster.Usable() {
+		if u.Stage == wire.Stage_STAGE_PREFILL || u.Stage == wire.Stage_STAGE_DECODE {
+			v.Engines = append(v.Engines, u)
 		}
 	}
 	return v
@@ -108,6 +106,7 @@
 		Peers:     func() []stages.Peer { return p.agentlessPeers(u) },
 		Observe:   func(i calls.ResponseInfo, sentAt time.Time) { p.observeUpstream(u, i, sentAt) },
 		MayCall:   func() bool { return !p.isPaused(u.Instance) },
+		MayOrder:  func() bool { return !p.evac.Contains(u.DataCentre) },
 		Fence:     p.mesh.NextFence,
 	}, admit.WithRemoteEngine(), admit.WithOrdersFrom(a.OrdersFrom))
 	p.managed[u.Instance] = &managedEngine{m, stop}
@@ -120,7 +119,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, u := range p.agentlessEngines {
-		if u.Service != self.Service || u.Instance == self.Instance {
+		if u.Service != self.Service || u.Instance == self.Instance || p.evac.Contains(u.DataCentre) {
 			continue
 		}
 		x := stages.Peer{Name: u.Instance, Stage: u.Stage}
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -22,6 +22,8 @@
 	storeReadErrors prometheus.Counter
 	storeEpochs     prometheus.Counter
 	entryListings   prometheus.Counter
+	evacuations     *prometheus.CounterVec
+	dataCentreSends *prometheus.GaugeVec
 	// admit counts the decisions on engines that this entry manages.
 	admit *admit.Metrics
 }
@@ -43,6 +45,8 @@
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
 		storeEpochs:     opsrv.Counter(r, "store_epochs_total", "New epochs of the store: it was restored from a copy."),
+		evacuations:     opsrv.Counters(r, "proxy_evacuations_total", "Evacuations of data centres that began or ended.", "data_centre", "change"),
+		dataCentreSends: opsrv.Gauges(r, "proxy_data_centre_sends", "Sends to upstreams of a data centre that haven't ended.", "data_centre"),
 		admit:           admit.NewMetrics(r),
 		storeReadErrors: opsrv.Counter(r, "store_read_errors_total", "Reads of the store that failed."),
 	}
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -32,7 +32,7 @@
 	tried := map[string]bool{}
 	var last error
 	for range maxPlainUpstreams {
-		if e := cmp.Or(p.checkStillAllowed(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
+		if e := cmp.Or(p.checkStillAllowed(x), p.checkEvacuated(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
 			p.fail(x, e)
 			return
 		}
@@ -153,6 +153,7 @@
 			staying = append(staying, u)
 		}
 	}
+	staying = orAll(staying, func(u roster.Upstream) bool { return !p.isReturning(now, u) })
 	if u, ok := p.picker.Pick(now, staying); ok {
 		return u, true
 	}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"cranberrypoint.example/coord/budget"
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/digest"
+	"cranberrypoint.example/coord/evac"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/limits"
@@ -160,12 +161,17 @@
 	loggedLimits map[string]float64
 	// broken holds requests whose upstreams may have ended.
 	broken []brokenOff
+	// returnedAt holds when data centres were last taken back after an evacuation.
+	returnedAt map[string]time.Time
+	// sendsTo counts the sends of this entry that haven't ended, by data centre.
+	sendsTo map[string]int
 	// The others have locks of their own. origins holds where streams began, versions which versions the
 	// upstreams of a service have had.
 	poison   *poison.Table
 	pacer    *pacer.Table
 	origins  *origin.Table
 	versions *origin.History
+	evac     *evac.Table
 }
 
 // Start runs an entry. The returned function stops it at once; see Drain for a graceful shutdown.
@@ -212,6 +218,9 @@
 		poison:            poison.New(),
 		origins:           origin.NewTable(),
 		versions:          origin.NewHistory(),
+		evac:              evac.New(),
+		returnedAt:        map[string]time.Time{},
+		sendsTo:           map[string]int{},
 	}
 	p.pacer = pacer.New(p.limitShare)
 	var closeConns func()
@@ -225,7 +234,7 @@
 		Incarnation: now.UnixMilli(),
 	}
 	p.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(p.updateSelf),
-		mesh.WithAfterHeartbeat(p.afterHeartbeat), mesh.WithRumors(rumor.Rumors{Poison: p.poison, Pacer: p.pacer}))
+		mesh.WithAfterHeartbeat(p.afterHeartbeat), mesh.WithRumors(rumor.Rumors{Poison: p.poison, Pacer: p.pacer, Evac: p.evac, ReadsStore: true}))
 	stopMesh := p.mesh.Start()
 	var stopOps []func()
 	for _, l := range listeners[2:] {
@@ -309,7 +318,7 @@
 	if v != nil {
 		// The status names the version of the configuration, not the snapshot's revision.
 		s.Revision = v.rules.Version()
-		s.Ready = !s.Draining && v.isFresh(p.settings.ConfigMaxAge) && p.storeReachable()
+		s.Ready = !s.Draining && v.isFresh(p.settings.ConfigMaxAge) && v.knowsEvacuations() && p.storeReachable()
 	}
 	return s
 }
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -56,6 +56,7 @@
 	x.record.sends++
 	p.mu.Lock()
 	p.picker.CallStarted(u.Instance)
+	p.sendBegan(u)
 	p.mu.Unlock()
 	resp, err := p.conns.Do(ctx, u.Address, &upconn.Request{
 		Method:             x.r.Method,
@@ -119,6 +120,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.picker.CallEnded(time.Now(), u.Instance, r, l)
+	p.sendEnded(u)
 }
 
 var resultNames = map[picker.Result]string{
--- a/entry/proxy/restore_test.go
+++ b/entry/proxy/restore_test.go
@@ -49,6 +49,8 @@
 	revision uint64
 	config   rules.Config
 	listed   map[string]roster.Upstream
+	// evacuated are the data centres that the operator has evacuated.
+	evacuated []string
 }
 
 // storeSim is a store that is restored from copies, with an operator and upstreams that write there.
@@ -158,7 +160,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return calls.Listing{Rules: r, RulesEpoch: s.epoch, Epoch: s.epoch, Revision: s.revision, Upstreams: slices.Collect(maps.Values(s.listed))}
+	return calls.Listing{Rules: r, RulesEpoch: s.epoch, Epoch: s.epoch, Revision: s.revision, Upstreams: slices.Collect(maps.Values(s.listed)), Evacuated: s.evacuated}
 }
 
 // simEntry is an entry and what it has known.
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -42,7 +42,7 @@
 	x.prefillDeadline = p.prefillDeadline(x)
 	tried := map[string]bool{}
 	for range maxDecodeTries {
-		if e := cmp.Or(p.checkStillAllowed(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
+		if e := cmp.Or(p.checkStillAllowed(x), p.checkEvacuated(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
 			x.kvCache.discard()
 			p.fail(x, e)
 			return
--- a/entry/proxy/upstate.go
+++ b/entry/proxy/upstate.go
@@ -90,7 +90,7 @@
 	p.leaving[u.Instance] = now.Add(hearsayTime)
 	if old := p.snapshot.Load(); old != nil {
 		n := *old
-		n.services = p.usableUpstreams()
+		n.services, n.evacuated = p.usableUpstreams()
 		p.snapshot.Store(&n)
 	}
 }
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -31,6 +31,11 @@
 	position calls.Position
 	// rulesEpoch is the epoch of the store in which the rules were read.
 	rulesEpoch uint64
+	// evacuationsReadAt is readAt for the evacuations: earlier if the last listing came from an
+	// entry of an earlier release, and zero if none was ever read.
+	evacuationsReadAt clock.Instant
+	// evacuated holds the services that have upstreams, but all in evacuated data centres.
+	evacuated map[string]bool
 	// hash identifies the list of upstreams.
 	hash uint64
 	// config is the configuration in JSON, as sent to other entries, and configHash identifies
@@ -52,6 +57,14 @@
 
 func (s *snapshot) age() time.Duration { return clock.Now().Sub(s.readAt) }
 
+// knowsEvacuations reports whether the evacuations were ever read.
+func (s *snapshot) knowsEvacuations() bool { return s.evacuationsReadAt != 0 }
+
+// ageOfAll returns the age of what is oldest in the snapshot.
+func (s *snapshot) ageOfAll() time.Duration {
+	return clock.Now().Sub(min(s.readAt, s.evacuationsReadAt))
+}
+
 // chooseRules returns the rules that are in force once a listing is known, and whether the listing
 // is newer than the snapshot, so that its upstreams count.
 //
@@ -111,6 +124,9 @@
 	if old != nil && r == old.rules {
 		n.rulesEpoch = old.rulesEpoch
 	}
+	if old != nil {
+		n.evacuationsReadAt = old.evacuationsReadAt
+	}
 	if isNewer {
 		p.logListing(old, l, r)
 		for _, c := range p.roster.Update(now.time, roster.List{Epoch: l.Epoch, ReadAt: now.before(readAt), Upstreams: l.Upstreams}) {
@@ -118,6 +134,10 @@
 		}
 		p.upstreams.Set(p.roster.Listed())
 		p.seeVersions(now.time)
+		if !l.LacksEvacuated {
+			p.updateEvacuations(now, l, readAt)
+			n.evacuationsReadAt = readAt
+		}
 	} else {
 		n.readAt, n.position = old.readAt, old.position
 	}
@@ -130,7 +150,7 @@
 		}).Info("configuration adopted")
 	}
 	n.hash = p.upstreams.Hash()
-	n.services = p.usableUpstreams()
+	n.services, n.evacuated = p.usableUpstreams()
 	if err := n.encodeConfig(old); err != nil {
 		return err
 	}
@@ -147,13 +167,21 @@
 	}
 }
 
-// usableUpstreams returns the upstreams of each service that may get new work. p.mu must be held.
-func (p *Proxy) usableUpstreams() map[string][]roster.Upstream {
-	m := map[string][]roster.Upstream{}
+// usableUpstreams returns the upstreams of each service that may get new work, and the services
+// that have none since all are in evacuated data centres. p.mu must be held.
+func (p *Proxy) usableUpstreams() (services map[string][]roster.Upstream, evacuated map[string]bool) {
+	services, evacuated = map[string][]roster.Upstream{}, map[string]bool{}
 	for _, u := range p.roster.Usable() {
-		m[u.Service] = append(m[u.Service], u)
+		if p.evac.Contains(u.DataCentre) {
+			evacuated[u.Service] = true
+			continue
+		}
+		services[u.Service] = append(services[u.Service], u)
+	}
+	for s := range services {
+		delete(evacuated, s)
 	}
-	return m
+	return services, evacuated
 }
 
 // logListing logs a new epoch of the store, and, once in each epoch, a configuration that is older
--- a/entry/proxy/watch.go
+++ b/entry/proxy/watch.go
@@ -72,11 +72,12 @@
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, m := range peers {
-		if p.fetchFromEntry(m) == nil {
+		// An entry of an earlier release doesn't know the evacuations.
+		if p.fetchFromEntry(m) == nil && p.snapshot.Load().ageOfAll() < maxEntryDataAge {
 			return nil
 		}
 	}
-	if v := p.snapshot.Load(); v != nil && v.age() < storeReadAge+rand.N(storeReadJitter) {
+	if v := p.snapshot.Load(); v != nil && v.ageOfAll() < storeReadAge+rand.N(storeReadJitter) {
 		return errNoRecentData
 	}
 	if err := p.readStore(); err == nil {
--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -11,6 +11,7 @@
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/digest"
+	"cranberrypoint.example/coord/evac"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/origin"
@@ -39,7 +40,7 @@
 		return nil, err
 	}
 	d, err := json.Marshal(digest.Delta{})
-	return &wire.ListReply{Known: true, AgeMicros: r.age.Microseconds(), Revision: r.version, Config: c, Delta: d}, err
+	return &wire.ListReply{Known: true, Evacuations: &wire.Evacuations{}, AgeMicros: r.age.Microseconds(), Revision: r.version, Config: c, Delta: d}, err
 }
 
 // serve starts the fake entry and returns its address.
@@ -79,6 +80,9 @@
 		poison:       poison.New(),
 		origins:      origin.NewTable(),
 		versions:     origin.NewHistory(),
+		evac:         evac.New(),
+		returnedAt:   map[string]time.Time{},
+		sendsTo:      map[string]int{},
 		leaving:      map[string]time.Time{},
 		heardLeaving: map[string]hearsay{},
 		mesh:         mesh.New(&wire.Member{Name: "z", Role: mesh.RoleEntry}, nil, links, log),
