--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -17,8 +17,6 @@
 	"cranberrypoint.example/coord/wire"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 )
 
 const (
@@ -264,37 +262,3 @@
 func FindOrigin(c drpc.Conn, ctx context.Context, m *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
 	return wire.NewDRPCMeshClient(c).FindOrigin(ctx, m)
 }
-
-// Serve serves the peer protocol, and the agent protocol unless agent is nil, until the
-// context ends. A nil configuration means plain TCP.
-func Serve(ctx context.Context, l net.Listener, c *tls.Config, peer wire.DRPCPeerServer, agent wire.DRPCAgentServer) (err error) {
-	defer fault.Annotate(&err, "serve %s", l.Addr())
-	m := drpcmux.New()
-	if err := wire.DRPCRegisterPeer(m, peer); err != nil {
-		return err
-	}
-	if agent != nil {
-		if err := wire.DRPCRegisterAgent(m, agent); err != nil {
-			return err
-		}
-	}
-	return serve(ctx, l, c, m)
-}
-
-// ServeMesh serves the mesh protocol until the context ends. A nil configuration means
-// plain TCP.
-func ServeMesh(ctx context.Context, l net.Listener, c *tls.Config, s wire.DRPCMeshServer) (err error) {
-	defer fault.Annotate(&err, "serve %s", l.Addr())
-	m := drpcmux.New()
-	if err := wire.DRPCRegisterMesh(m, s); err != nil {
-		return err
-	}
-	return serve(ctx, l, c, m)
-}
-
-func serve(ctx context.Context, l net.Listener, c *tls.Config, m *drpcmux.Mux) error {
-	if c != nil {
-		l = tls.NewListener(l, c)
-	}
-	return drpcserver.New(m).Serve(ctx, l)
-}
