--- a/coord/mesh/mesh.go
+++ b/coord/mesh/mesh.go
@@ -219,14 +219,20 @@
 	if q.Self == nil {
 		return &wire.GossipReply{}, nil
 	}
-	m.mu.Lock()
-	a := m.members.HandleRequest(time.Now(), q)
-	m.mu.Unlock()
+	a := m.handleRequest(q)
 	m.mergeRumors(q.Rumors)
 	a.Rumors = m.rumors.Reply(time.Now(), q.Rumors)
 	return a, nil
 }
 
+// handleRequest merges the sender's record. The lock is released also if that panics, after which the
+// process goes on; see link.ServeMesh.
+func (m *Mesh) handleRequest(q *wire.GossipRequest) *wire.GossipReply {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.HandleRequest(time.Now(), q)
+}
+
 // Live returns the live members of a role, sorted by name, without the process itself.
 func (m *Mesh) Live(role string) []*wire.Member {
 	m.mu.Lock()
