upconn, proxy, admit: no late copy of an unnamed answer reaches another caller

An error answer may lack its request's id, and answers to control calls (a KV cache freed, a report, an order) have none. A second copy of one that came after the next request was sent on the connection matched that request: a caller got the 404 of a freed KV cache, or a 503 that promised that its request hadn't run. Connections close after an answer that names no request, and control calls have connections of their own. Named copies were skipped already (TestLateResponseIsSkipped); extra bytes on an idle connection close it.

--- a/coord/admit/engine.go
+++ b/coord/admit/engine.go
@@ -107,6 +107,7 @@
 		Host:   m.settings.Upstream,
 		Header: h,
 		Body:   body,
+		Group:  upconn.ControlGroup,
 	})
 	if err != nil {
 		return 0, nil, err
--- a/coord/upconn/bounds_test.go
+++ b/coord/upconn/bounds_test.go
@@ -67,7 +67,7 @@
 			}
 		}
 	}
-	if d := cmp.Diff([]int{1, 1}, []int{len(p.idle[u.address]), p.open[u.address]}); d != "" {
+	if d := cmp.Diff([]int{1, 1}, []int{len(p.idle[idleKey{address: u.address}]), p.open[u.address]}); d != "" {
 		t.Errorf("idle and open connections (-want +got):\n%s", d)
 	}
 }
--- a/coord/upconn/ended.go
+++ b/coord/upconn/ended.go
@@ -24,7 +24,7 @@
 		return NotListening(err)
 	}
 	c.expiresAt = time.Now().Add(defaultIdleTimeout)
-	if !p.putIdle(address, c, maxIdle) {
+	if !p.putIdle(idleKey{address: address}, c, maxIdle) {
 		_ = c.Close()
 	}
 	return false
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -4,7 +4,7 @@
 // a request again on a new connection if the upstream has closed the reused one; Do sends
 // each request at most once. Each error says whether the request may have reached the
 // upstream. If Request.Matches is set, a late or duplicate response to another request is
-// never passed on.
+// never passed on; Request.Names and Request.Group keep those that name no request apart.
 package upconn
 
 import (
@@ -40,6 +40,9 @@
 	maxResponses = 3
 )
 
+// ControlGroup is the group of this system's own calls to upstreams, whose responses name no request.
+const ControlGroup = "control"
+
 // Request is a request to one upstream.
 type Request struct {
 	Method string
@@ -61,6 +64,12 @@
 	// Matches reports whether a response with this status and header can belong to this
 	// request; nil accepts any.
 	Matches func(status int, h http.Header) bool
+	// Names reports whether a response with this header names its request; nil if all do. After one that
+	// doesn't, the connection is closed: a late copy of it would match the next request too.
+	Names func(h http.Header) bool
+	// Group separates connections to an address: one is reused only for requests of the same group. Requests
+	// whose responses name none belong in another group than those that other requests must not be answered by.
+	Group string
 }
 
 // Response is an upstream's response. Body must be closed. Closing it before its end closes
@@ -104,10 +113,13 @@
 // another one.
 var ErrMaxConns = errors.New("the upstream takes no more connections")
 
+// idleKey says for which requests an idle connection can be reused.
+type idleKey struct{ address, group string }
+
 // Pool holds connections by address. It is safe for concurrent use.
 type Pool struct {
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[idleKey][]*conn
 	// open counts the connections to an address, including those being dialed.
 	open   map[string]int
 	closed bool
@@ -118,7 +130,7 @@
 // NewPool returns a pool and a function that closes the pool's idle connections; after it the
 // pool keeps no idle connections. If onDial is not nil, it is called after each successful dial.
 func NewPool(onDial func()) (p *Pool, closePool func()) {
-	p = &Pool{idle: map[string][]*conn{}, open: map[string]int{}, onDial: onDial}
+	p = &Pool{idle: map[idleKey][]*conn{}, open: map[string]int{}, onDial: onDial}
 	return p, p.close
 }
 
@@ -126,7 +138,7 @@
 	p.mu.Lock()
 	p.closed = true
 	idle := p.idle
-	p.idle = map[string][]*conn{}
+	p.idle = map[idleKey][]*conn{}
 	p.mu.Unlock()
 	for _, l := range idle {
 		closeConns(l)
@@ -136,8 +148,13 @@
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
-	l := p.idle[address]
-	delete(p.idle, address)
+	var l []*conn
+	for k, idle := range p.idle {
+		if k.address == address {
+			l = append(l, idle...)
+			delete(p.idle, k)
+		}
+	}
 	p.mu.Unlock()
 	closeConns(l)
 }
@@ -152,16 +169,16 @@
 
 // takeIdle removes and returns the idle connection that was used last among those that have
 // not expired and that isQuiet accepts, or nil. It closes the others that it comes across.
-func (p *Pool) takeIdle(address string) *conn {
+func (p *Pool) takeIdle(k idleKey) *conn {
 	for {
 		p.mu.Lock()
-		l := p.idle[address]
+		l := p.idle[k]
 		if len(l) == 0 {
 			p.mu.Unlock()
 			return nil
 		}
 		c := l[len(l)-1]
-		p.idle[address] = l[:len(l)-1]
+		p.idle[k] = l[:len(l)-1]
 		p.mu.Unlock()
 		if time.Now().Before(c.expiresAt) && c.isQuiet() {
 			return c
@@ -172,25 +189,25 @@
 
 // putIdle keeps an idle connection. It returns false if the pool is closed or holds maxIdle
 // of them already.
-func (p *Pool) putIdle(address string, c *conn, maxIdle int) bool {
+func (p *Pool) putIdle(k idleKey, c *conn, maxIdle int) bool {
 	if maxIdle <= 0 {
 		maxIdle = defaultMaxIdle
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[address]) >= maxIdle {
+	if p.closed || len(p.idle[k]) >= maxIdle {
 		return false
 	}
-	p.idle[address] = append(p.idle[address], c)
+	p.idle[k] = append(p.idle[k], c)
 	return true
 }
 
 // get returns an idle connection or dials a new one.
-func (p *Pool) get(ctx context.Context, address string, maxConns int) (*conn, error) {
-	if c := p.takeIdle(address); c != nil {
+func (p *Pool) get(ctx context.Context, k idleKey, maxConns int) (*conn, error) {
+	if c := p.takeIdle(k); c != nil {
 		return c, nil
 	}
-	return p.dial(ctx, address, maxConns)
+	return p.dial(ctx, k.address, maxConns)
 }
 
 // dial opens a new connection.
@@ -236,7 +253,7 @@
 // Do sends a request to an address and returns the head of its response. Its errors are of
 // type *Error. When the context ends, the connection is closed, also while the body is read.
 func (p *Pool) Do(ctx context.Context, address string, q *Request) (r *Response, err error) {
-	c, err := p.get(ctx, address, q.MaxConns)
+	c, err := p.get(ctx, idleKey{address, q.Group}, q.MaxConns)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -304,11 +321,11 @@
 	default:
 	}
 	body := frame.NewBody(resp)
-	b := &responseBody{pool: p, address: address, maxIdle: q.MaxIdle, conn: c, detachContext: detachContext, ReadCloser: body}
+	b := &responseBody{pool: p, key: idleKey{address, q.Group}, maxIdle: q.MaxIdle, conn: c, detachContext: detachContext, ReadCloser: body}
 	b.expiresAt = time.Now().Add(idleTimeout(resp.Header))
 	f := frame.Of(resp)
 	b.reuse = requestWritten && f != frame.Connection && !resp.Close && resp.ProtoAtLeast(1, 1)
-	if q.CloseAfter != nil && q.CloseAfter(resp.Header) {
+	if q.CloseAfter != nil && q.CloseAfter(resp.Header) || q.Names != nil && !q.Names(resp.Header) {
 		b.reuse = false
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: body.Length, Framing: f, Body: b}, nil
@@ -346,7 +363,7 @@
 type responseBody struct {
 	io.ReadCloser
 	pool    *Pool
-	address string
+	key     idleKey
 	maxIdle int
 	conn    *conn
 	// detachContext makes the connection independent of the request's context, whose end would
@@ -386,7 +403,7 @@
 		return
 	}
 	b.conn.expiresAt = b.expiresAt
-	if !b.pool.putIdle(b.address, b.conn, b.maxIdle) {
+	if !b.pool.putIdle(b.key, b.conn, b.maxIdle) {
 		_ = b.conn.Close()
 	}
 }
--- a/coord/upconn/upconn_test.go
+++ b/coord/upconn/upconn_test.go
@@ -137,7 +137,7 @@
 func (p *Pool) hasQuietIdle(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.idle[address]
+	l := p.idle[idleKey{address: address}]
 	return len(l) > 0 && l[0].isQuiet()
 }
 
@@ -202,7 +202,7 @@
 	if d := cmp.Diff("one", got); d != "" || err != nil {
 		t.Errorf("response, error %v (-want +got):\n%s", err, d)
 	}
-	if p.takeIdle(u.address) != nil {
+	if p.takeIdle(idleKey{address: u.address}) != nil {
 		t.Error("the connection is kept")
 	}
 }
@@ -261,7 +261,7 @@
 	if d := cmp.Diff("no", string(b)); d != "" || err != nil {
 		t.Errorf("response, error %v (-want +got):\n%s", err, d)
 	}
-	if p.takeIdle(l.Addr().String()) != nil {
+	if p.takeIdle(idleKey{address: l.Addr().String()}) != nil {
 		t.Error("the connection is kept")
 	}
 }
@@ -358,7 +358,7 @@
 	if p.HasEnded(t.Context(), l.Addr().String(), 1, 1) {
 		t.Error("a running upstream has ended, with as many connections open as may be")
 	}
-	if c := p.takeIdle(l.Addr().String()); c == nil || opened != 2 {
+	if c := p.takeIdle(idleKey{address: l.Addr().String()}); c == nil || opened != 2 {
 		t.Errorf("idle connection %v after %d were opened; want one after 2", c, opened)
 	}
 	_ = l.Close()
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -195,7 +195,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, freeTimeout)
 	defer cancel()
 	method, path := p.codec.FreeRequest(h)
-	resp, err := p.conns.Do(ctx, c.upstream.Address, &upconn.Request{Method: method, Target: path, Host: c.upstream.Address, Header: http.Header{}})
+	resp, err := p.conns.Do(ctx, c.upstream.Address, &upconn.Request{Method: method, Target: path, Host: c.upstream.Address, Header: http.Header{}, Group: upconn.ControlGroup})
 	if err != nil {
 		p.log.WithField("event", "free-failed").WithField("instance", c.upstream.Instance).WithError(err).Warn("KV cache was not freed")
 		return
