engine, plain: a connection for each call

The answers of engines and plain services behind the OpenAI door name no request, and the standard library's transport closes a kept connection only for extra bytes that arrive while it is idle. A late second copy of an answer that arrived after the next call was sent became its answer: the KV cache of another prompt, or another caller's answer. Asking for an echo of the request id was ruled out, as services owe none.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -136,9 +136,11 @@
 	http *http.Client
 }
 
-// New returns a client for the engine at a base URL.
+// New returns a client for the engine at a base URL. It opens a connection for each call: answers don't
+// name their request, so on a connection that is in use again, a late second copy of one would be taken
+// for the next. A prefill would get the KV cache of another prompt.
 func New(base string) *Client {
-	return &Client{base: base, http: &http.Client{}}
+	return &Client{base: base, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 // Base returns the base URL of the engine.
--- a/agent/engine/engine_test.go
+++ b/agent/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"cranberrypoint.example/coord/fake"
 	"cranberrypoint.example/coord/frame"
+	"github.com/google/go-cmp/cmp"
 )
 
 // TestEndlessAnswerIsCutOff guards against answers of an engine without an end, which would be held
@@ -44,3 +46,28 @@
 		t.Errorf("result %v; want an error", r)
 	}
 }
+
+// TestSecondCopyIsNoResult guards against a late second copy of an answer that is taken for the answer to the next call.
+func TestSecondCopyIsNoResult(t *testing.T) {
+	n := 0
+	address, stop, err := fake.Repeater(func(*http.Request) string {
+		n++
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"handle\":\"%d\"}", n)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	c := New("http://" + address)
+	var got []string
+	for range 2 {
+		r, err := c.Prefill(t.Context(), Prefill{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, r.Handle)
+	}
+	if d := cmp.Diff([]string{"1", "2"}, got); d != "" {
+		t.Errorf("handles (-want +got):\n%s", d)
+	}
+}
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -28,19 +28,17 @@
 // of each call limits its duration.
 type Client struct {
 	base string
-	// pooled reuses idle connections. http.Transport retries some requests by itself when
-	// an idle connection turns out to be closed, so only idempotent requests use it.
-	pooled *http.Client
-	// unpooled opens a connection for each request, so that http.Transport never retries.
-	unpooled *http.Client
+	// http opens a connection for each request: answers don't name their request, so on a connection
+	// that is in use again, a late second copy of one would reach the next caller. And http.Transport
+	// never retries by itself, which it does when an idle connection turns out to be closed.
+	http *http.Client
 }
 
 // New returns a client for the service at a base URL.
 func New(base string) *Client {
 	return &Client{
-		base:     strings.TrimSuffix(base, "/"),
-		pooled:   newHTTPClient(&http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}),
-		unpooled: newHTTPClient(&http.Transport{DisableCompression: true, DisableKeepAlives: true}),
+		base: strings.TrimSuffix(base, "/"),
+		http: newHTTPClient(&http.Transport{DisableCompression: true, DisableKeepAlives: true}),
 	}
 }
 
@@ -77,11 +75,7 @@
 	}
 	req.Header.Set(RequestIDHeader, o.Request)
 	setLength(req)
-	client := c.unpooled
-	if o.Idempotent {
-		client = c.pooled
-	}
-	resp, err := client.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, callError(err)
 	}
--- a/coord/upconn/late_test.go
+++ b/coord/upconn/late_test.go
@@ -1,60 +1,19 @@
 package upconn
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"cranberrypoint.example/coord/fake"
 	"github.com/google/go-cmp/cmp"
 )
 
 // unnamedError is an error response that doesn't say which request it belongs to.
 const unnamedError = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
-// startRepeater starts a server that answers each request by f and, on a connection that is in use again, first
-// sends the response to the request before once more. That is the latest moment at which a second copy can arrive.
-func startRepeater(t *testing.T, f func(q *http.Request) string) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go repeat(c, f)
-		}
-	}()
-	return l.Addr().String()
-}
-
-// repeat answers the requests on one connection, as described at startRepeater.
-func repeat(c net.Conn, f func(q *http.Request) string) {
-	defer func() { _ = c.Close() }()
-	r := bufio.NewReader(c)
-	last := ""
-	for {
-		q, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, q.Body)
-		a := f(q)
-		if _, err := io.WriteString(c, last+a); err != nil {
-			return
-		}
-		last = a
-	}
-}
-
 // namedRequest returns a request that a response matches if it has the request's id, or is an error and has none.
 func namedRequest(id string) *Request {
 	q := newRequest(id)
@@ -85,13 +44,17 @@
 // TestSecondCopyIsNoAnswerToNextRequest lets a second copy of each response arrive after the next request was sent on
 // the same connection. Named ones are skipped; after one without a name the connection must not be in use again.
 func TestSecondCopyIsNoAnswerToNextRequest(t *testing.T) {
-	address := startRepeater(t, func(q *http.Request) string {
+	address, stop, err := fake.Repeater(func(q *http.Request) string {
 		id := q.Header.Get("Id")
 		if id == "full" {
 			return unnamedError
 		}
 		return okResponse(id, id)
 	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
 	p := newPool(t)
 	type answer struct {
 		Status int
@@ -111,12 +74,16 @@
 // TestGroupsShareNoConnection lets a second copy of the response to a control call, which names no request, arrive
 // late. It must not answer a caller's request.
 func TestGroupsShareNoConnection(t *testing.T) {
-	address := startRepeater(t, func(q *http.Request) string {
+	address, stop, err := fake.Repeater(func(q *http.Request) string {
 		if id := q.Header.Get("Id"); id != "" {
 			return okResponse(id, id)
 		}
 		return unnamedError
 	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
 	p := newPool(t)
 	control := &Request{Method: http.MethodDelete, Target: "/kept", Host: "h", Header: http.Header{}, Group: "control"}
 	if s, _ := status(t, p, address, control); s != http.StatusServiceUnavailable {
--- a/entry/proxy/late_test.go
+++ b/entry/proxy/late_test.go
@@ -1,16 +1,15 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/fake"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
@@ -32,44 +31,17 @@
 	return h.Get("Id") == id || h.Get("Id") == "" && status >= http.StatusBadRequest
 }
 
-// serveLateCopies answers the requests of one connection: 404 without a name to the first and to one with the id
-// "lost", 200 to others. A second copy of each answer arrives when the next request was sent.
-func serveLateCopies(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	r := bufio.NewReader(c)
-	for last := ""; ; {
-		q, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		a := "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-		if id := q.Header.Get("Id"); id != "" && id != "lost" {
-			a = "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"
-		}
-		if _, err := io.WriteString(c, last+a); err != nil {
-			return
-		}
-		last = a
+// answerOf answers 404 without a name to a request without an id or with the id "lost", and 200 to others.
+func answerOf(q *http.Request) string {
+	if id := q.Header.Get("Id"); id != "" && id != "lost" {
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"
 	}
+	return "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 }
 
 // TestLateCopyReachesNoOtherCaller guards against a late second copy of an answer without an id, to a control call or
 // a request, that reaches the caller of the next request on the connection.
 func TestLateCopyReachesNoOtherCaller(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveLateCopies(c)
-		}
-	}()
 	r, err := rules.New(rules.Config{
 		Version:  1,
 		Services: []rules.Service{{Name: "s"}},
@@ -78,7 +50,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := roster.Upstream{Instance: "i", Service: "s", Address: l.Addr().String()}
+	address, stop, err := fake.Repeater(answerOf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	u := roster.Upstream{Instance: "i", Service: "s", Address: address}
 	p := newTestProxy(t.Context(), t)
 	p.codec, p.picker = namingCodec{}, picker.New("", 1)
 	p.snapshot.Store(&snapshot{rules: r, services: map[string][]roster.Upstream{"s": {u}}})
