upconn: an upstream that leaves a large body unread isn't cut

TCP_USER_TIMEOUT, 2 s, also counts while the receiver acknowledges probes and has no room. A sound upstream that left a body larger than its receive window unread for so long, as with a request in its queue, lost its connection: the caller got 502, or the request was sent elsewhere. The timeout is lifted for bodies that may exceed the window until the answer begins; the request's own time bounds the wait.

--- a/coord/upconn/conn.go
+++ b/coord/upconn/conn.go
@@ -100,11 +100,11 @@
 	return err == nil && quiet
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// setUserTimeout sets TCP_USER_TIMEOUT on a socket; 0 means none.
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var sockErr error
 	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -112,13 +112,30 @@
 	return sockErr
 }
 
+// allowSlowReader lifts TCP_USER_TIMEOUT until restore is called. The kernel applies it also to a receiver that
+// acknowledges all probes but has no room, as an upstream that leaves a large body unread while the request is in
+// its queue. What doesn't answer at all is left to the time of the request then.
+func (c *conn) allowSlowReader() (restore func()) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return func() {}
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return func() {}
+	}
+	// An error means that the connection is closed, which its next use shows.
+	_ = setUserTimeout(raw, 0)
+	return func() { _ = setUserTimeout(raw, tcpUserTimeout) }
+}
+
 // newDialer returns a dialer whose connections fail within seconds if the other host no longer
 // acknowledges TCP segments or probes: by TCP_USER_TIMEOUT while bytes are unacknowledged,
 // otherwise by keep-alive probes.
 func newDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout: dialTimeout,
-		Control: setUserTimeout,
+		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, tcpUserTimeout) },
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveInterval,
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -309,6 +309,9 @@
 // the response calls detachContext at its end; see responseBody.
 func (p *Pool) roundTrip(address string, c *conn, q *Request, detachContext func() bool) (r *Response, err error) {
 	defer fault.Annotate(&err, "%s", address)
+	if len(q.Body) > maxSyncBodyBytes {
+		defer c.allowSlowReader()()
+	}
 	written := writeRequest(c, q)
 	resp, err := readResponse(c, q)
 	if err != nil {
