proxy: a caller who stops reading holds its request no longer than its time

The request's deadline ended the upstream's part, but the write to a caller who didn't read had no bound: the request went on holding its memory and, at an engine without a manager, its part of the engine. Writes end slowCallerGrace after the deadline. Set anew for each request of a connection. TestCallerWhoStopsReadingHoldsNothing failed without the change. Guards: TestSlowReaderGetsWholeAnswer, TestStalledStreamEnds (comments or bytes without an event end with the request's time), TestSlowSoundStreamIsNotCut.

--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -25,6 +25,9 @@
 	notReadyRetryAfter = 500 * time.Millisecond
 	// defaultTimeout limits a request for which neither route nor caller sets a timeout.
 	defaultTimeout = 30 * time.Second
+	// slowCallerGrace is how long after the deadline of a request the end of its answer may still be on its way
+	// to a caller on a slow link.
+	slowCallerGrace = 3 * time.Second
 	// fieldOverheadBytes is the size of a header field besides its name and value.
 	// headOverheadBytes is the size of a head besides fields, method, target and host name.
 	fieldOverheadBytes = len(": \r\n")
@@ -43,12 +46,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{w: w, r: r, firstByteAt: began, arrived: time.Now()}
+	x.setWriteDeadline(x.arrived.Add(defaultTimeout))
 	x.record.outcome = outcomeIncomplete
 	defer p.finish(x)
 	if e := p.admit(x); e != nil {
 		p.fail(x, e)
 		return
 	}
+	x.setWriteDeadline(x.deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
@@ -63,6 +68,13 @@
 	p.servePlain(x)
 }
 
+// setWriteDeadline bounds the time for writing the answer to a caller who doesn't read it: a request that is to be
+// answered at deadline must not hold its place and its memory any longer than slowCallerGrace after that.
+func (x *exchange) setWriteDeadline(deadline time.Time) {
+	// An error means that the connection is closed, or that the writer is a test's.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(deadline.Add(slowCallerGrace))
+}
+
 // admit validates and authenticates a request, reads its body and applies the rate limit.
 func (p *Proxy) admit(x *exchange) *fault.Error {
 	c, err := p.codec.RequestInfo(x.r.Header)
