edge: a caller who stops reading holds its request no longer than its time

The router ended the request at its deadline, but the goroutine that wrote the answer waited for the caller for ever, and a drain with it. TestCallerWhoStopsReadingEndsWrites failed without the bound.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -154,6 +154,8 @@
 		if e.closeConnections.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		// The request before on the connection may have left one that has passed.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		h.ServeHTTP(w, q)
 	})
 }
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -208,6 +208,9 @@
 // the whole answer, or an empty one. The name in the answer is that of router.Accepted: a request that repeats an idempotency key may get the name of
 // an earlier one instead of c.Name.
 func (e *Edge) serveCall(w http.ResponseWriter, q *http.Request, c router.Call, body *requestBody, a answerWriter) {
+	if v, ok := e.settingsTree().RouteValues(c.Route); ok {
+		limitWrites(w, time.Now().Add(v.Timeout))
+	}
 	id, s := e.startRequest(c, body)
 	e.startReadingBody(w, q, s)
 	name := c.Name
@@ -247,6 +250,17 @@
 	}
 }
 
+// slowCallerGrace is how long after the deadline of a request the end of its answer may still be on its way to a
+// caller on a slow link.
+const slowCallerGrace = 3 * time.Second
+
+// limitWrites bounds the time for writing the answer to a caller who doesn't read it. A request that is to be answered
+// at deadline would otherwise hold its goroutine, its memory and the end of a drain for ever.
+func limitWrites(w http.ResponseWriter, deadline time.Time) {
+	// An error means that the connection is closed, or that the writer is a test's.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(slowCallerGrace))
+}
+
 // bodyError returns the readError of the request's body, or nil if the request has none.
 func (e *Edge) bodyError(s *effectQueue) *fault.Error {
 	if s.body == nil {
