proxy: a drain cuts no request that has just come

closeIdle closed connections whose request had arrived in the socket but wasn't read yet, as happens on a VM that is short of CPU time; the caller saw a reset. It now looks into the socket first. And once the last connection had ended, the listener stayed open until the process stopped, so that a request accepted in between was cut: it is closed first now, and what was accepted up to then is answered. TestUnreadRequestIsNotIdle and TestNothingIsAcceptedAfterDrain failed without the changes.

--- a/entry/proxy/callers.go
+++ b/entry/proxy/callers.go
@@ -6,10 +6,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/rules"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -149,9 +151,31 @@
 	return bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length:"))
 }
 
-// closeIdle closes the connections that have been idle since before the given time.
+// closeIdle closes the connections that have been idle since before the given time. One on which bytes have arrived
+// isn't idle, although the server hasn't read them yet, as on a VM that is short of CPU time.
 func (c *connTracker) closeIdle(since time.Time) {
-	c.closeWhere(func(x *clientConn) bool { return !x.idleSince.IsZero() && !x.idleSince.After(since) })
+	c.closeWhere(func(x *clientConn) bool {
+		return !x.idleSince.IsZero() && !x.idleSince.After(since) && !hasInput(x.Conn)
+	})
+}
+
+// hasInput reports whether bytes have arrived on a connection that were not read yet.
+func hasInput(n net.Conn) bool {
+	s, ok := n.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	got := 0
+	// Control, not Read, which would wait for the server's own read.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		got, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && got > 0
 }
 
 // closeOverdue closes the connections that have been idle, or that have been sending the head of a
@@ -161,7 +185,7 @@
 	idle := now.Add(-clientTimeout(l.IdleTimeout, defaultIdleTimeout))
 	c.closeWhere(func(x *clientConn) bool {
 		if !x.idleSince.IsZero() {
-			return x.idleSince.Before(idle)
+			return x.idleSince.Before(idle) && !hasInput(x.Conn)
 		}
 		return !x.inRequest && x.firstByteAt.Before(head)
 	})
--- a/entry/proxy/callers_test.go
+++ b/entry/proxy/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -91,3 +92,33 @@
 		n++
 	}
 }
+
+// TestUnreadRequestIsNotIdle guards against a close of a connection whose request has arrived, but which the server had no
+// time to read yet.
+func TestUnreadRequestIsNotIdle(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	c := newConnTracker(l)
+	const request = "GET / HTTP/1.1\r\n\r\n"
+	d, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = d.Close() }()
+	x, err := c.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(d, request); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	c.closeIdle(time.Now())
+	b := make([]byte, len(request))
+	if _, err := io.ReadFull(x, b); err != nil {
+		t.Errorf("the request can't be read: %v", err)
+	}
+}
--- a/entry/proxy/drain.go
+++ b/entry/proxy/drain.go
@@ -47,6 +47,19 @@
 	}
 	// Idle connections are closed only now, because requests arrived on them until the load
 	// balancer knew. The loop waits for the others, each of which is closed after its answer.
+	p.closeClientConns(ctx)
+	// A connection may be accepted at any time up to the close of the listener, and its request must be
+	// answered too. A later one is refused, which tells the caller that nothing ran.
+	_ = p.clientConns.Close()
+	select {
+	case <-p.stoppedAccepting:
+	case <-ctx.Done():
+	}
+	p.closeClientConns(ctx)
+}
+
+// closeClientConns closes the connections of callers as they become idle, until there are none or the context ends.
+func (p *Proxy) closeClientConns(ctx context.Context) {
 	for p.clientConns.count() > 0 && ctx.Err() == nil {
 		p.clientConns.closeIdle(time.Now().Add(-minIdleTime))
 		time.Sleep(connectionPollPeriod)
--- a/entry/proxy/drain_test.go
+++ b/entry/proxy/drain_test.go
@@ -1,6 +1,9 @@
 package proxy
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -27,3 +30,24 @@
 		}
 	}
 }
+
+// TestNothingIsAcceptedAfterDrain checks that no request can begin once a drain has ended and the process is about to
+// stop: it would be cut off.
+func TestNothingIsAcceptedAfterDrain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newTestProxy(t.Context(), t)
+	p.clientConns, p.stoppedAccepting = newConnTracker(l), make(chan struct{})
+	p.http = &http.Server{Handler: http.NotFoundHandler(), ConnState: p.clientConns.trackState, ConnContext: p.clientConns.connContext}
+	defer func() { _ = p.http.Close() }()
+	go p.serveCallers()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*deregistrationDelay)
+	defer cancel()
+	p.Drain(ctx)
+	if r, err := http.Get("http://" + l.Addr().String()); err == nil {
+		_ = r.Body.Close()
+		t.Errorf("a request after the drain got status %d", r.StatusCode)
+	}
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -111,6 +111,8 @@
 	shutdown       atomic.Pointer[shutdown]
 	activeRequests atomic.Int64
 	clientConns    *connTracker
+	// stoppedAccepting is closed once no more connections of callers are accepted.
+	stoppedAccepting chan struct{}
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -215,6 +217,7 @@
 		heardLeaving:      map[string]hearsay{},
 		loggedLimits:      map[string]float64{},
 		clientConns:       newConnTracker(listeners[0]),
+		stoppedAccepting:  make(chan struct{}),
 		poison:            poison.New(),
 		origins:           origin.NewTable(),
 		versions:          origin.NewHistory(),
@@ -246,7 +249,7 @@
 		ConnState:      p.clientConns.trackState,
 		ConnContext:    p.clientConns.connContext,
 	}
-	p.tasks.Go(func() { _ = p.http.Serve(p.clientConns) })
+	p.tasks.Go(p.serveCallers)
 	p.tasks.Go(func() { _ = link.ServeMesh(ctx, listeners[1], nil, p) })
 	p.tasks.Go(p.pollConfig)
 	p.tasks.Go(p.enforceClientTimeouts)
@@ -264,6 +267,12 @@
 	}, nil
 }
 
+// serveCallers accepts connections of callers until the listener is closed.
+func (p *Proxy) serveCallers() {
+	defer close(p.stoppedAccepting)
+	_ = p.http.Serve(p.clientConns)
+}
+
 func rosterOptions(s Settings) (opts []roster.Option) {
 	if s.RegistrationLapse > 0 {
 		opts = append(opts, roster.WithLapse(s.RegistrationLapse))
