place: a preempted run keeps its place while its engine is silent

The time for which a preempted run may be missing from the reports also passed while there were no reports: after five seconds of silence the first report ended it, and its memory was given away although it came back. The time counts from the first report after a silence now. TestSilentEngineKeepsItsRuns failed without the change (1 run instead of 2); TestNewSchedulerCountsForeignRuns is a guard for an engine that another process managed before.

--- a/coord/place/observe.go
+++ b/coord/place/observe.go
@@ -12,6 +12,9 @@
 	// reportTimeout is how long a run that was reported may be missing from the reports
 	// before it counts as ended.
 	reportTimeout = 300 * time.Millisecond
+	// silence is the time without a report after which the engine counts as having been silent. It allows for
+	// a lost report of an engine on another VM.
+	silence = 2500 * time.Millisecond
 	// cancelTime is how long an engine may go on with a run after its place was released.
 	cancelTime = 500 * time.Millisecond
 )
@@ -43,6 +46,9 @@
 		clear(s.runs)
 		s.startUnixMillis = r.StartUnixMillis
 	}
+	if now.Sub(s.lastReport) > silence {
+		s.silentUntil = now
+	}
 	s.memoryTokens = r.MemoryTokens
 	s.updateStepTime(now, r)
 	maps.DeleteFunc(s.ignoreUntil, func(_ string, t time.Time) bool { return !now.Before(t) })
@@ -77,11 +83,15 @@
 // requests wait at the engine, a run that is missing may be one of them, preempted: it comes
 // back and needs its memory again.
 func (s *Scheduler) hasEnded(now time.Time, r *run, queued int) bool {
-	timeout := reportTimeout
-	if r.lastReported.IsZero() || queued > 0 {
+	since, timeout := later(r.lastReported, r.grantedAt), reportTimeout
+	switch {
+	case r.lastReported.IsZero():
 		timeout = firstReportTimeout + s.reportLag
+	case queued > 0:
+		// No report could show it while the engine was silent.
+		since, timeout = later(since, s.silentUntil), firstReportTimeout+s.reportLag
 	}
-	return now.Sub(later(r.lastReported, r.grantedAt)) > timeout
+	return now.Sub(since) > timeout
 }
 
 func later(a, b time.Time) time.Time {
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -99,6 +99,8 @@
 	avgMaxTokens    float64
 	avgPromptTokens float64
 	lastReport      time.Time
+	// silentUntil is when reports came again after the engine was last silent.
+	silentUntil time.Time
 	// reportLag is the age of what a report says when it arrives.
 	reportLag time.Duration
 	// ignoreUntil holds, for each released run, the time until which reports that list it may
