--- a/coord/upconn/upconn_test.go
+++ b/coord/upconn/upconn_test.go
@@ -181,6 +181,8 @@
 	for name, a := range map[string]string{
 		"length":  "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\none",
 		"chunk":   "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n",
+		"trailer": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n",
+		"size":    "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\none\r\n0\r\n\r\n",
 		"head":    "HTTP/1.1 200 OK\r\nId: 1\r\n",
 		"garbage": "\x00\x01\x02\r\n\r\n",
 		"nothing": "",
