--- a/admin/main.go
+++ b/admin/main.go
@@ -8,8 +8,10 @@
 
 	"cranberrypoint.example/admin/oper"
 	"cranberrypoint.example/coord/cmdln"
+	"cranberrypoint.example/coord/lint"
+	"cranberrypoint.example/coord/review"
 )
 
 func main() {
-	os.Exit(cmdln.Main("admin", &oper.Check{}, &oper.Explain{}, &oper.ExplainRequest{}, &oper.Hash{}, &oper.Status{}, &oper.Timeline{}))
+	os.Exit(cmdln.Main("admin", &oper.Check{}, review.New(lint.Parse), &oper.Explain{}, &oper.ExplainRequest{}, &oper.Hash{}, &oper.Status{}, &oper.Timeline{}))
 }
--- a/coord/rules/rules.go
+++ b/coord/rules/rules.go
@@ -4,6 +4,7 @@
 //
 // Rules are immutable; New validates and indexes them. Entries send each other a Config
 // as JSON under its Go field names; a json tag keeps the name of a field that was renamed.
+// Operators write one as YAML; see package lint.
 package rules
 
 import (
@@ -35,95 +36,95 @@
 
 // Destination is a service that a route sends requests to, in proportion to its weight.
 type Destination struct {
-	Service string
-	Weight  int
+	Service string `yaml:"service"`
+	Weight  int    `yaml:"weight"`
 }
 
 // Route maps requests for a host and path prefix to services.
 type Route struct {
-	Name string
-	Host string
+	Name string `yaml:"name"`
+	Host string `yaml:"host"`
 	// Prefix is a path prefix that begins and ends with a slash.
-	Prefix string
-	Kind   RouteKind
+	Prefix string    `yaml:"prefix"`
+	Kind   RouteKind `yaml:"kind"`
 	// Timeout is the longest time from the arrival of a request to the end of its response.
-	Timeout time.Duration
+	Timeout time.Duration `yaml:"timeout"`
 	// TargetLatency is the target for the time from the arrival of a request to the start of
 	// its response or, for a stream, to the first event.
-	TargetLatency time.Duration `json:"Target"`
+	TargetLatency time.Duration `json:"Target" yaml:"target-latency"`
 	// TargetGap is the target for the time between two events of a stream.
-	TargetGap time.Duration `json:"Pause"`
+	TargetGap time.Duration `json:"Pause" yaml:"target-gap"`
 	// Priority is the priority of the route's requests; 0 is the highest.
-	Priority     int
-	Destinations []Destination `json:"Shares"`
-	MaxAttempts  int
+	Priority     int           `yaml:"priority"`
+	Destinations []Destination `json:"Shares" yaml:"destinations"`
+	MaxAttempts  int           `yaml:"max-attempts"`
 	// Public is true if requests need no key.
-	Public bool `json:"Open"`
+	Public bool `json:"Open" yaml:"public"`
 	// Resumable is true if a streaming request may run more than once.
-	Resumable bool
+	Resumable bool `yaml:"resumable"`
 }
 
 // Engine describes the model engines of a service.
 type Engine struct {
 	// Slots is the number of requests that an engine processes at once, in one batch.
-	Slots int
+	Slots int `yaml:"slots"`
 	// KVTokens is the size of one engine's KV cache, in tokens.
-	KVTokens int64 `json:"Memory"`
+	KVTokens int64 `json:"Memory" yaml:"kv-tokens"`
 	// HoldTime is how long an engine that serves prefill keeps the KV cache of a prompt if no
 	// engine that serves decode fetches it.
-	HoldTime time.Duration
+	HoldTime time.Duration `yaml:"hold-time"`
 	// SwitchTime is how long an engine is unavailable while it changes between the stages
 	// prefill and decode.
-	SwitchTime time.Duration
+	SwitchTime time.Duration `yaml:"switch-time"`
 }
 
 // Service is a set of interchangeable upstreams.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name       string `yaml:"name"`
+	HealthPath string `yaml:"health-path"`
 	// MaxConnections is the number of connections that each upstream of the service accepts
 	// from all entries together; 0 means no limit.
-	MaxConnections int
+	MaxConnections int `yaml:"max-connections"`
 	// Engine is nil if the upstreams are not model engines.
-	Engine *Engine
+	Engine *Engine `yaml:"engine"`
 }
 
 // Workspace is a customer with its keys and rate limit.
 type Workspace struct {
-	Name string
-	Keys []string
+	Name string   `yaml:"name"`
+	Keys []string `yaml:"keys"`
 	// Priority overrides the priority of the route if it is not nil.
-	Priority *int
+	Priority *int `yaml:"priority"`
 	// Rate, in tokens per second, and Burst, in tokens, limit the requests to all entries
 	// together. CountsRequests replaces tokens by requests. A rate of 0 means no limit.
-	Rate  int64
-	Burst int64
+	Rate  int64 `yaml:"rate"`
+	Burst int64 `yaml:"burst"`
 	// CountsRequests is true if Rate and Burst count requests instead of tokens.
-	CountsRequests bool `json:"ByRequest"`
+	CountsRequests bool `json:"ByRequest" yaml:"counts-requests"`
 	// DefaultTokens is the number of tokens charged for a request that doesn't state its own
 	// number. It is not used if CountsRequests is true.
-	DefaultTokens int64 `json:"PlainTokens"`
+	DefaultTokens int64 `json:"PlainTokens" yaml:"default-tokens"`
 }
 
 // Limits bound the size of callers' requests, the time to receive their headers, and the
 // time that a connection stays idle.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
+	MaxHeaderBytes int   `yaml:"max-header-bytes"`
+	MaxBodyBytes   int64 `yaml:"max-body-bytes"`
 	// HeaderTimeout is the time in which a caller must send the head of a request.
-	HeaderTimeout time.Duration
+	HeaderTimeout time.Duration `yaml:"header-timeout"`
 	// IdleTimeout is how long an idle connection of a caller is kept.
-	IdleTimeout time.Duration
+	IdleTimeout time.Duration `yaml:"idle-timeout"`
 }
 
 // Config is a complete configuration as published by an operator.
 type Config struct {
 	// Version increases with each published configuration.
-	Version    uint64
-	Routes     []Route
-	Services   []Service
-	Workspaces []Workspace
-	Limits     Limits
+	Version    uint64      `yaml:"version"`
+	Routes     []Route     `yaml:"routes"`
+	Services   []Service   `yaml:"services"`
+	Workspaces []Workspace `yaml:"workspaces"`
+	Limits     Limits      `yaml:"limits"`
 }
 
 // Rules are a validated and indexed configuration.
