codec: a fourth figure of the reported load is the slowness

parseLoad took exactly three figures, so that an upstream that names a fourth one reported no load at all.

--- a/coord/calls/calls.go
+++ b/coord/calls/calls.go
@@ -67,6 +67,9 @@
 	Waiting int
 	// Slots is the number of requests that it can execute at once.
 	Slots int
+	// SlownessPercent is the time that work takes now, in percent of the usual time; 0 if the
+	// upstream doesn't name it.
+	SlownessPercent int
 }
 
 // ResponseInfo holds what the status and headers of an upstream's response say.
@@ -88,8 +91,8 @@
 	// Limit is the number of requests a second that the upstream takes from all its clients together;
 	// 0 if it names none.
 	Limit float64
-	// Invalid is a header about the upstream's state that can't be understood, as "name: value",
-	// and has no effect; empty if there is none.
+	// Invalid is a header about the upstream's state that can't be understood, as "name: value". What
+	// of it is malformed has no effect. It is empty if there is none.
 	Invalid string
 }
 
