picker: expected finish among upstreams that name their slowness

Calls in flight take a call of five times the work, and an upstream that is 2.5 times slower for half a second, for equal to any other. Where an upstream has named its slowness the picker goes by the time at which a call is expected to finish: the work outstanding there, this entry's by expected work and that of others by the load reported, and the call's own, times the slowness. Two are drawn of those that are about equal. A data centre is kept while it serves within the target. Without any figure the score of before decides.

--- a/coord/cost/speed.go
+++ b/coord/cost/speed.go
@@ -44,6 +44,8 @@
 	// lost and held are sums over pairs of figures, weighted by the square of the deviation: the part of it
 	// that was lost from the first to the second, and the time between them in seconds.
 	lost, held float64
+	// named is the number of upstreams that have named their slowness.
+	named int
 }
 
 // NewSpeeds returns a table in which all upstreams are as usual.
@@ -68,7 +70,9 @@
 		return
 	}
 	x := min(maxSlowness, max(minSlowness, float64(percent)/100))
-	if !u.namedAt.IsZero() {
+	if u.namedAt.IsZero() {
+		s.named++
+	} else {
 		s.learnPersistence(u.named-usual, x-usual, at.Sub(u.namedAt))
 	}
 	u.named, u.namedAt = x, at
@@ -128,15 +132,27 @@
 		return u.seenNow(now), 0
 	}
 	age = max(0, now.Sub(u.namedAt))
+	seen := u.seenNow(now)
+	if u.named == seen {
+		return seen, age
+	}
 	w := math.Exp(-age.Seconds() / s.persistence().Seconds())
-	return w*u.named + (1-w)*u.seenNow(now), age
+	return w*u.named + (1-w)*seen, age
 }
 
 // HasNamed reports whether an upstream has ever named its slowness.
 func (s *Speeds) HasNamed(instance string) bool {
+	if s.named == 0 {
+		return false
+	}
 	u := s.upstreams[instance]
 	return u != nil && !u.namedAt.IsZero()
 }
 
 // Forget drops what is known of an upstream that is gone.
-func (s *Speeds) Forget(instance string) { delete(s.upstreams, instance) }
+func (s *Speeds) Forget(instance string) {
+	if s.HasNamed(instance) {
+		s.named--
+	}
+	delete(s.upstreams, instance)
+}
--- a/coord/picker/picker.go
+++ b/coord/picker/picker.go
@@ -10,6 +10,9 @@
 // upstream that leaves several calls in a row unanswered is ejected for a time that doubles
 // with each ejection until a call is answered or refused. An upstream that fails more often
 // than its peers gets fewer calls until successful ones have lowered its failure rate.
+//
+// Among upstreams of which one has named its slowness, the expected finish of a call decides in place of
+// the number of calls in flight.
 package picker
 
 import (
@@ -17,6 +20,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/cost"
 	"cranberrypoint.example/coord/roster"
 )
 
@@ -71,9 +75,14 @@
 type upstreamStats struct {
 	// inFlight is the number of calls of this entry that haven't ended.
 	inFlight int
+	// work is the sum of the expected work of the calls in flight, and meanWork the average work of a call.
+	work     time.Duration
+	meanWork time.Duration
 	// load is the last load that the upstream reported, and loadAt the time of the report.
+	// others is the part of it that wasn't this entry's.
 	load   calls.Load
 	loadAt time.Time
+	others int
 	// failureRate is from 0 to 1.
 	failureRate float64
 	// noAnswers is compared with ejectionThreshold. A NoAnswer call adds 1, an Unreachable one
@@ -91,13 +100,19 @@
 	dataCentre string
 	rand       *rand.Rand
 	// stats holds the statistics by roster.Upstream.Instance.
-	stats map[string]*upstreamStats
+	stats  map[string]*upstreamStats
+	speeds *cost.Speeds
 }
 
 // New returns a picker for an entry in a data centre. The seed is that of the random part
 // of the scores.
 func New(dataCentre string, seed uint64) *Picker {
-	return &Picker{dataCentre: dataCentre, rand: rand.New(rand.NewPCG(seed, seed)), stats: map[string]*upstreamStats{}}
+	return &Picker{
+		dataCentre: dataCentre,
+		rand:       rand.New(rand.NewPCG(seed, seed)),
+		stats:      map[string]*upstreamStats{},
+		speeds:     cost.NewSpeeds(),
+	}
 }
 
 func (p *Picker) statsFor(instance string) *upstreamStats {
@@ -109,10 +124,21 @@
 	return s
 }
 
-// Pick returns the candidate with the lowest score that isn't ejected. If all are ejected,
+// Pick returns a candidate for a job that isn't ejected: the one with the lowest score or, if a candidate has
+// ever named its slowness, one with about the earliest expected finish. If all are ejected,
 // it returns the one whose ejection ends first: to try an upstream that may have recovered is
 // better than to fail the call without a try. It returns false if there are no candidates.
-func (p *Picker) Pick(now time.Time, candidates []roster.Upstream) (best roster.Upstream, ok bool) {
+func (p *Picker) Pick(now time.Time, candidates []roster.Upstream, j Job) (best roster.Upstream, ok bool) {
+	if p.Uneven(candidates) {
+		if best, ok = p.pickByFinish(now, candidates, j); ok {
+			return best, ok
+		}
+	}
+	return p.pickByScore(now, candidates)
+}
+
+// pickByScore returns the candidate with the lowest score, or the one whose ejection ends first.
+func (p *Picker) pickByScore(now time.Time, candidates []roster.Upstream) (best roster.Upstream, ok bool) {
 	// The sort key is the score or, for an ejected upstream, the seconds until its ejection ends.
 	bestKey := 0.0
 	bestEjected := true
@@ -152,18 +178,28 @@
 	return score
 }
 
-// CallStarted counts a call that is sent to an upstream. Each must be followed by CallEnded.
-func (p *Picker) CallStarted(instance string) { p.statsFor(instance).inFlight++ }
+// CallStarted counts a call that is sent to an upstream. Each must be followed by CallEnded with the same job.
+func (p *Picker) CallStarted(instance string, j Job) {
+	s := p.statsFor(instance)
+	s.inFlight++
+	s.work += j.Work
+	if s.meanWork == 0 {
+		s.meanWork = j.Work
+	}
+	s.meanWork += time.Duration(ewmaWeight * float64(j.Work-s.meanWork))
+}
 
 // CallEnded records the result of a call. The load is what the upstream reported with its
 // answer; nil if it reported none.
-func (p *Picker) CallEnded(now time.Time, instance string, r Result, l *calls.Load) {
+func (p *Picker) CallEnded(now time.Time, instance string, j Job, r Result, l *calls.Load) {
 	s := p.statsFor(instance)
 	s.inFlight--
+	s.work -= j.Work
 	if l != nil {
 		s.load = *l
 		// The reported load still includes the call that ended.
 		s.load.Running = max(0, s.load.Running-1)
+		s.others = max(0, s.load.Running+s.load.Waiting-s.inFlight)
 		s.loadAt = now
 	}
 	switch r {
@@ -194,7 +230,10 @@
 }
 
 // Forget drops the statistics of an upstream that was removed.
-func (p *Picker) Forget(instance string) { delete(p.stats, instance) }
+func (p *Picker) Forget(instance string) {
+	delete(p.stats, instance)
+	p.speeds.Forget(instance)
+}
 
 // Ejected reports whether an upstream is currently ejected.
 func (p *Picker) Ejected(now time.Time, instance string) bool {
--- a/coord/picker/picker_test.go
+++ b/coord/picker/picker_test.go
@@ -24,10 +24,10 @@
 func pickCounts(p *Picker, now time.Time, l []roster.Upstream, n int) map[string]int {
 	c := map[string]int{}
 	for range n {
-		u, _ := p.Pick(now, l)
+		u, _ := p.Pick(now, l, Job{})
 		c[u.Instance]++
-		p.CallStarted(u.Instance)
-		p.CallEnded(now, u.Instance, Succeeded, nil)
+		p.CallStarted(u.Instance, Job{})
+		p.CallEnded(now, u.Instance, Job{}, Succeeded, nil)
 	}
 	return c
 }
@@ -37,8 +37,8 @@
 func TestReportedLoadCounts(t *testing.T) {
 	p := New("home", 1)
 	l := upstreams("busy", "free")
-	p.CallStarted("busy")
-	p.CallEnded(epoch, "busy", Succeeded, &calls.Load{Running: 6, Waiting: 8, Slots: 6})
+	p.CallStarted("busy", Job{})
+	p.CallEnded(epoch, "busy", Job{}, Succeeded, &calls.Load{Running: 6, Waiting: 8, Slots: 6})
 	if d := cmp.Diff(map[string]int{"free": 20}, pickCounts(p, epoch, l, 20)); d != "" {
 		t.Errorf("picks (-want +got):\n%s", d)
 	}
@@ -53,8 +53,8 @@
 	p := New("home", 1)
 	l := upstreams("unresponsive", "healthy")
 	noAnswer := func(now time.Time) {
-		p.CallStarted("unresponsive")
-		p.CallEnded(now, "unresponsive", NoAnswer, nil)
+		p.CallStarted("unresponsive", Job{})
+		p.CallEnded(now, "unresponsive", Job{}, NoAnswer, nil)
 	}
 	noAnswer(epoch)
 	if p.Ejected(epoch, "unresponsive") {
@@ -72,8 +72,8 @@
 		t.Errorf("picks (-want +got):\n%s", d)
 	}
 	back := epoch.Add(time.Minute)
-	p.CallStarted("unresponsive")
-	p.CallEnded(back, "unresponsive", Succeeded, nil)
+	p.CallStarted("unresponsive", Job{})
+	p.CallEnded(back, "unresponsive", Job{}, Succeeded, nil)
 	noAnswer(back)
 	if p.Ejected(back, "unresponsive") {
 		t.Error("an answer doesn't reset the count of calls without one")
@@ -86,8 +86,8 @@
 	p := New("home", 1)
 	l := upstreams("failing", "healthy")
 	for i := range 40 {
-		p.CallStarted("failing")
-		p.CallEnded(epoch, "failing", []Result{Succeeded, Failed}[i%2], nil)
+		p.CallStarted("failing", Job{})
+		p.CallEnded(epoch, "failing", Job{}, []Result{Succeeded, Failed}[i%2], nil)
 	}
 	if c := pickCounts(p, epoch, l, 100); c["failing"] > 10 {
 		t.Errorf("a failing upstream got %d of 100 calls", c["failing"])
@@ -100,13 +100,13 @@
 	p := New("home", 1)
 	l := upstreams("a", "b")
 	for _, n := range []string{"a", "b", "b", "a"} {
-		p.CallStarted(n)
-		p.CallEnded(epoch, n, NoAnswer, nil)
+		p.CallStarted(n, Job{})
+		p.CallEnded(epoch, n, Job{}, NoAnswer, nil)
 	}
-	if _, ok := p.Pick(epoch, l); !ok {
+	if _, ok := p.Pick(epoch, l, Job{}); !ok {
 		t.Error("no upstream is picked")
 	}
-	if _, ok := p.Pick(epoch, nil); ok {
+	if _, ok := p.Pick(epoch, nil, Job{}); ok {
 		t.Error("an upstream is picked out of none")
 	}
 }
@@ -115,8 +115,8 @@
 // process at its address.
 func TestReplacedIsEjectedAtOnce(t *testing.T) {
 	p := New("home", 1)
-	p.CallStarted("a")
-	p.CallEnded(epoch, "a", Replaced, nil)
+	p.CallStarted("a", Job{})
+	p.CallEnded(epoch, "a", Job{}, Replaced, nil)
 	if !p.Ejected(epoch, "a") {
 		t.Error("not ejected after another process answered at its address")
 	}
@@ -126,8 +126,8 @@
 // one failed connection.
 func TestUnreachableIsEjectedAtOnce(t *testing.T) {
 	p := New("home", 1)
-	p.CallStarted("a")
-	p.CallEnded(epoch, "a", Unreachable, nil)
+	p.CallStarted("a", Job{})
+	p.CallEnded(epoch, "a", Job{}, Unreachable, nil)
 	if !p.Ejected(epoch, "a") || p.Ejected(epoch.Add(baseEjection), "a") {
 		t.Error("not ejected for baseEjection after a failed connection")
 	}
