proxy: place by expected finish, engines by speed of their own

Where an upstream of a service has named its slowness, the entry tells the picker the expected work of plain requests and their target, and learns the work from the time to the head of an answer, less slowness and queue. Prefill engines are ordered by expected time, from a speed for each that is shrunk to the average; a slow decode engine with room costs more, for a long run more, and one at which pauses would be too long is the last with room. Managers pass on the slowness that their engine has just named. Without any figure all of it is as before.

--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -122,6 +122,9 @@
 	// limits holds the limit that the engine names to this manager, and polledAt is when it was last polled.
 	limits   *pacer.Table
 	polledAt time.Time
+	// slownessPercent is the slowness that the engine named at slownessAt.
+	slownessPercent int
+	slownessAt      time.Time
 	// orderedStage is the stage of the last order that the engine accepted.
 	orderedStage wire.Stage
 	// stateChanged is closed and replaced at each change that followers are sent at once. Other
@@ -277,7 +280,8 @@
 func (m *Manager) state() *wire.PlaceState {
 	now := time.Now()
 	available := m.healthy(now) && !m.report.Busy
-	if m.cachedState != nil && m.cachedState.Sound == available {
+	slowness := m.currentSlowness(now)
+	if m.cachedState != nil && m.cachedState.Sound == available && m.cachedState.SlownessPercent == slowness {
 		return m.cachedState
 	}
 	s := m.ledger.State(now)
@@ -292,6 +296,20 @@
 		Memory:      s.MemoryTokens,
 		Slots:       int32(s.Slots),
 		Leaving:     m.leaving,
+
+		SlownessPercent: slowness,
 	}
 	return m.cachedState
 }
+
+// slownessMaxAge is how long followers are told a slowness that the engine has named; it changes often.
+const slownessMaxAge = 150 * time.Millisecond
+
+// currentSlowness returns the slowness in percent that the engine has just named; 0 if it named none. The caller holds
+// the lock.
+func (m *Manager) currentSlowness(now time.Time) int32 {
+	if now.Sub(m.slownessAt) > slownessMaxAge {
+		return 0
+	}
+	return int32(m.slownessPercent)
+}
--- a/coord/admit/engine.go
+++ b/coord/admit/engine.go
@@ -141,6 +141,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.pauses.Ask(time.Now(), m.settings.Name, i.Pause)
+	if i.Load != nil && i.Load.SlownessPercent > 0 {
+		m.slownessPercent, m.slownessAt = i.Load.SlownessPercent, time.Now()
+	}
 	if i.Leaving && !m.leaving {
 		m.leaving = true
 		m.log.WithField("event", "engine-leaving").Info("engine says that it leaves")
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -8,6 +8,7 @@
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/place"
 	"cranberrypoint.example/coord/rank"
+	"cranberrypoint.example/coord/recent"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/wire"
 )
@@ -34,6 +35,9 @@
 	// leavingCost is added to the cost of an engine that is said to leave, so that all others come
 	// before it.
 	leavingCost = 1000.0
+	// maxPrefillSpeeds and prefillSpeedLife bound the engines whose own speed is kept.
+	maxPrefillSpeeds = 1024
+	prefillSpeedLife = 10 * time.Minute
 )
 
 // Ranks of prefill engines. Those with a lower rank come first, whatever their backlog; ranks add up.
@@ -51,6 +55,10 @@
 	// prefill prompts themselves.
 	remotePrefill prefillSpeed
 	localPrefill  prefillSpeed
+	// prefillSpeeds holds the speeds of single prefill engines at usual speed, by instance.
+	prefillSpeeds *recent.Cache[string, prefillSpeed]
+	// gaps is the average time between two parts of a stream in nanoseconds, by service.
+	gaps map[string]float64
 	// callerRetryEstimators holds one estimator for each route.
 	callerRetryEstimators map[string]*callerRetryEstimator
 	// meanRunTime is the average time of a run, from the head of its answer to its end, in
@@ -62,7 +70,12 @@
 }
 
 func newEngineStats() *engineStats {
-	return &engineStats{callerRetryEstimators: map[string]*callerRetryEstimator{}, agentlessTokens: map[string]int64{}}
+	return &engineStats{
+		prefillSpeeds:         recent.NewCache[string, prefillSpeed](maxPrefillSpeeds, prefillSpeedLife),
+		gaps:                  map[string]float64{},
+		callerRetryEstimators: map[string]*callerRetryEstimator{},
+		agentlessTokens:       map[string]int64{},
+	}
 }
 
 // recordRun records the time of a complete run.
@@ -140,13 +153,15 @@
 func (p *Proxy) pickDecode(x *exchange, tried map[string]bool) (best candidate, hasRoom, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	var least float64
 	for _, c := range p.candidates(x.service.Name, wire.Stage_STAGE_DECODE, tried) {
 		if !x.accepts(c.upstream) {
 			continue
 		}
 		cost, free := p.decodeCost(x, c)
-		if p.isSaidToLeave(time.Now(), c.upstream.Instance) || c.state != nil && c.state.Leaving {
+		cost = p.withSlowness(x, cost, p.slowness(now, c), free)
+		if p.isSaidToLeave(now, c.upstream.Instance) || c.state != nil && c.state.Leaving {
 			cost += leavingCost
 		}
 		if !ok || cost < least {
@@ -207,18 +222,20 @@
 	return e.KVTokens
 }
 
-// pickPrefill returns the prefill engine with the lowest rank and the smallest backlog, and that backlog in
+// pickPrefill returns the prefill engine with the lowest rank that is expected to be free first, and its backlog in
 // tokens. version is that of the decode engine; empty if it isn't chosen yet.
 func (p *Proxy) pickPrefill(x *exchange, version string, tried map[string]bool) (best candidate, backlog int64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.candidates(x.service.Name, wire.Stage_STAGE_PREFILL, tried)
-	mean := meanBacklog(l)
+	now, mean := time.Now(), meanBacklog(l)
 	var lowest int
+	var first float64
 	for _, c := range l {
 		r, n := p.prefillRank(c, version), p.prefillBacklog(c, mean)
-		if !ok || cmp.Or(cmp.Compare(r, lowest), cmp.Compare(n, backlog)) < 0 {
-			best, lowest, backlog, ok = c, r, n, true
+		o := p.prefillOrder(now, x, c, n)
+		if !ok || cmp.Or(cmp.Compare(r, lowest), cmp.Compare(o, first)) < 0 {
+			best, lowest, first, backlog, ok = c, r, o, n, true
 		}
 	}
 	return best, backlog, ok
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -58,7 +59,9 @@
 	mayHaveRun bool
 	// answered is true once the head of an answer was written.
 	answered bool
-	record   accessRecord
+	// placement is what a plain request was last placed by.
+	placement placement
+	record    accessRecord
 }
 
 // accessRecord holds what the log line of a request contains besides the request itself.
@@ -89,6 +92,8 @@
 	// lastPart is the time from the request to the last part of the answer.
 	lastPart time.Duration
 	bytes    int64
+	// parts is the number of parts of the answer.
+	parts int
 	// framing and end say how the upstream framed its answer and how reading it ended; empty
 	// if no answer was relayed.
 	framing       frame.Framing
@@ -105,6 +110,7 @@
 		r.longestPause = max(r.longestPause, at-r.lastPart)
 	}
 	r.lastPart = at
+	r.parts++
 	r.bytes += int64(bytes)
 }
 
@@ -222,5 +228,6 @@
 	if r.bytes > 0 {
 		f["bytes"] = r.bytes
 	}
+	maps.Copy(f, x.placement.fields())
 	p.log.WithFields(f).Info("request finished")
 }
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -14,6 +14,8 @@
 	sends           *prometheus.CounterVec
 	answers         *prometheus.CounterVec
 	upstreamStates  *prometheus.CounterVec
+	placed          *prometheus.CounterVec
+	workEstimates   *prometheus.CounterVec
 	connections     prometheus.Counter
 	upstreamsEnded  prometheus.Counter
 	quarantined     prometheus.Counter
@@ -37,7 +39,9 @@
 		firstEvent:      opsrv.Latency(r, "proxy_first_event_seconds", "Time from a request to the first part of a stream."),
 		sends:           opsrv.Counters(r, "proxy_sends_total", "Sends to upstreams.", "purpose", "result"),
 		answers:         opsrv.Counters(r, "proxy_answers_total", "Answers of upstreams that were relayed, by how they were framed and how reading them ended.", "framing", "end"),
-		upstreamStates:  opsrv.Counters(r, "proxy_upstream_states_total", "What upstreams said of themselves in answers: that they leave, want a pause or name a limit, or something that can't be understood.", "state"),
+		upstreamStates:  opsrv.Counters(r, "proxy_upstream_states_total", "What upstreams said of themselves in answers: that they leave, want a pause, name a limit or their slowness, or something that can't be understood.", "state"),
+		placed:          opsrv.Counters(r, "proxy_placed_total", "Plain requests placed by expected finish, by the slowness of the upstream then: usual or slow.", "upstream"),
+		workEstimates:   opsrv.Counters(r, "proxy_work_estimates_total", "Answers whose work was within one error of the estimate, or beyond.", "error"),
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		upstreamsEnded:  opsrv.Counter(r, "proxy_upstreams_ended_total", "Requests under which their upstream ended."),
 		quarantined:     opsrv.Counter(r, "proxy_quarantined_total", "Checks that stopped a quarantined request, or one with a quarantined part in its prompt."),
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -136,26 +136,3 @@
 func (p *Proxy) mayRetry(x *exchange) bool {
 	return !x.route.AtMostOnce() && x.attempts < max(1, x.route.MaxAttempts) && p.poison.MayRepeat(time.Now(), x.poisonKeys)
 }
-
-// pickUpstream picks an upstream that was not tried yet and may get a request now. One that is said to
-// leave is picked only if there is no other.
-func (p *Proxy) pickUpstream(x *exchange, tried map[string]bool) (roster.Upstream, bool) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var staying, saidToLeave []roster.Upstream
-	for _, u := range p.snapshot.Load().services[x.service.Name] {
-		switch {
-		case tried[u.Instance] || !x.accepts(u) || !p.isAvailable(now, u.Instance):
-		case p.isSaidToLeave(now, u.Instance):
-			saidToLeave = append(saidToLeave, u)
-		default:
-			staying = append(staying, u)
-		}
-	}
-	staying = orAll(staying, func(u roster.Upstream) bool { return !p.isReturning(now, u) })
-	if u, ok := p.picker.Pick(now, staying); ok {
-		return u, true
-	}
-	return p.picker.Pick(now, saidToLeave)
-}
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -42,11 +42,11 @@
 // prefillEstimate returns how long the prefill is expected to take on a prefill engine and on a
 // decode engine, and the time that is left for it.
 func (p *Proxy) prefillEstimate(x *exchange) place.PrefillEstimate {
-	_, backlog, ok := p.pickPrefill(x, "", nil)
+	c, backlog, ok := p.pickPrefill(x, "", nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := place.PrefillEstimate{
-		Remote:   p.engineStats.remotePrefill.estimate(backlog + x.call.PromptTokens),
+		Remote:   p.prefillTime(time.Now(), x, c, backlog+x.call.PromptTokens),
 		Local:    p.engineStats.localPrefillTime(x.call.PromptTokens),
 		Slack:    time.Until(x.prefillDeadline),
 		MaxPause: x.route.TargetGap,
@@ -61,6 +61,7 @@
 // decode engine and returns no cache.
 func (p *Proxy) obtainKVCache(x *exchange, res reservation) kvCache {
 	r := p.prefillEstimate(x)
+	r.Local = p.localPrefillTimeAt(res.candidate, r.Local)
 	if res.candidate.subscription != nil && r.PreferLocal() {
 		if release, ok := p.reservePrefill(x, res.candidate); ok {
 			x.releaseLocalPrefill = release
@@ -71,12 +72,20 @@
 	return p.prefillRemotely(x, res)
 }
 
-// recordLocalPrefill records how long the decode engine took to prefill the prompt.
-func (p *Proxy) recordLocalPrefill(x *exchange, d time.Duration) {
+// localPrefillTimeAt returns how long a decode engine is expected to take for a prefill that takes some time at usual
+// speed.
+func (p *Proxy) localPrefillTimeAt(c candidate, usual time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.slowness(time.Now(), c) * float64(usual))
+}
+
+// recordLocalPrefill records how long a decode engine took to prefill the prompt.
+func (p *Proxy) recordLocalPrefill(x *exchange, c candidate, d time.Duration) {
 	x.record.prefillTime = d
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.engineStats.localPrefill.record(x.call.PromptTokens, d)
+	p.engineStats.localPrefill.record(x.call.PromptTokens, time.Duration(float64(d)/p.slowness(time.Now(), c)))
 }
 
 // endLocalPrefill tells the agent, if it permitted a local prefill, that the decode engine is no
@@ -115,9 +124,7 @@
 		return k
 	}
 	x.record.prefillTime = time.Since(began)
-	p.mu.Lock()
-	p.engineStats.remotePrefill.record(backlog+x.call.PromptTokens, x.record.prefillTime)
-	p.mu.Unlock()
+	p.recordPrefill(c, backlog+x.call.PromptTokens, x.record.prefillTime)
 	k.source = p.codec.KVSource(c.upstream.Address, h)
 	k.expires = time.Now().Add(time.Duration(kvCacheLifetimeShare * float64(x.service.Engine.HoldTime)))
 	k.free = func() { p.tasks.Go(func() { p.freeKVCache(c, h) }) }
@@ -200,7 +207,9 @@
 		p.log.WithField("event", "free-failed").WithField("instance", c.upstream.Instance).WithError(err).Warn("KV cache was not freed")
 		return
 	}
-	p.observeUpstream(c.upstream, p.codec.ResponseInfo(resp.Status, resp.Header), now)
+	info := p.codec.ResponseInfo(resp.Status, resp.Header)
+	p.observeUpstream(c.upstream, info, now)
+	p.observeSlowness(c.upstream, info)
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHandleBytes))
 	_ = resp.Body.Close()
 }
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"cranberrypoint.example/coord/assign"
 	"cranberrypoint.example/coord/budget"
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/cost"
 	"cranberrypoint.example/coord/digest"
 	"cranberrypoint.example/coord/evac"
 	"cranberrypoint.example/coord/fault"
@@ -122,6 +123,8 @@
 	// upstreams is the most recently adopted list of upstreams.
 	upstreams *digest.VersionedList
 	picker    *picker.Picker
+	// costs is the work of plain requests, as learned from answers.
+	costs *cost.Table
 	// ownedBuckets are the rate limit buckets that this entry owns, standInBuckets those from
 	// which it grants in place of an owner, and localBuckets those that it uses if no owner
 	// answers.
@@ -201,6 +204,7 @@
 		roster:            roster.New(rosterOptions(s)...),
 		upstreams:         digest.New(),
 		picker:            picker.New(s.DataCentre, uint64(now.UnixNano())),
+		costs:             cost.NewTable(),
 		ownedBuckets:      limits.New(),
 		standInBuckets:    limits.New(),
 		localBuckets:      limits.New(),
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -55,7 +55,7 @@
 	p.codec.RewriteHeaders(h, params)
 	x.record.sends++
 	p.mu.Lock()
-	p.picker.CallStarted(u.Instance)
+	p.picker.CallStarted(u.Instance, p.job(now, x))
 	p.sendBegan(u)
 	p.mu.Unlock()
 	resp, err := p.conns.Do(ctx, u.Address, &upconn.Request{
@@ -78,11 +78,15 @@
 	}
 	info := p.codec.ResponseInfo(resp.Status, resp.Header)
 	p.observeUpstream(u, info, now)
+	p.observeSlowness(u, info)
 	if resp.Status < http.StatusMultipleChoices && !info.Signed && !params.Prefill {
 		_ = resp.Body.Close()
 		p.recordResult(x, u, picker.NoAnswer, nil, purpose)
 		return nil, info, &upconn.Error{Sent: true, Err: errUnsigned}
 	}
+	if purpose == "call" && resp.Status < http.StatusMultipleChoices {
+		p.learnWork(x, u, info, time.Since(now))
+	}
 	return resp, info, nil
 }
 
@@ -120,7 +124,8 @@
 	p.metrics.sends.WithLabelValues(purpose, resultNames[r]).Inc()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.picker.CallEnded(time.Now(), u.Instance, r, l)
+	now := time.Now()
+	p.picker.CallEnded(now, u.Instance, p.job(now, x), r, l)
 	p.sendEnded(u)
 }
 
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -115,6 +115,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engineStats.recordRun(time.Since(began))
+	p.engineStats.recordGap(x.service.Name, x.record)
 	return true
 }
 
@@ -128,7 +129,7 @@
 		x.attempts++
 	}
 	if err == nil && source == "" && !info.NotExecuted && !info.WrongInstance {
-		p.recordLocalPrefill(x, time.Since(began))
+		p.recordLocalPrefill(x, res.candidate, time.Since(began))
 	}
 	return resp, info, err
 }
