--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -140,6 +140,7 @@
 				continue
 			}
 			c.subscription, c.state, c.stage = sub, sub.state, sub.state.Stage
+			p.picker.ObserveSlowness(sub.receivedAt, u.Instance, int(sub.state.SlownessPercent))
 		}
 		if c.stage == stage {
 			l = append(l, c)
@@ -229,11 +230,15 @@
 	defer p.mu.Unlock()
 	l := p.candidates(x.service.Name, wire.Stage_STAGE_PREFILL, tried)
 	now, mean := time.Now(), meanBacklog(l)
+	uneven := p.isUneven(x)
 	var lowest int
 	var first float64
 	for _, c := range l {
 		r, n := p.prefillRank(c, version), p.prefillBacklog(c, mean)
-		o := p.prefillOrder(now, x, c, n)
+		o := float64(n)
+		if uneven {
+			o = float64(p.unevenPrefillTime(now, c, n+x.call.PromptTokens))
+		}
 		if !ok || cmp.Or(cmp.Compare(r, lowest), cmp.Compare(o, first)) < 0 {
 			best, lowest, first, backlog, ok = c, r, o, n, true
 		}
--- a/entry/proxy/pick.go
+++ b/entry/proxy/pick.go
@@ -115,7 +115,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := x.placement.expected
-	if e.Work == 0 && !p.picker.Uneven(p.snapshot.Load().services[x.service.Name]) {
+	if e.Work == 0 && !p.isUneven(x) {
 		return
 	}
 	now := time.Now()
--- a/entry/proxy/slowness.go
+++ b/entry/proxy/slowness.go
@@ -17,13 +17,15 @@
 // slowness returns the factor by which work takes longer on an engine now than usually; 1 if it has never named its
 // slowness. p.mu must be held.
 func (p *Proxy) slowness(now time.Time, c candidate) float64 {
-	if n := c.state.GetSlownessPercent(); n > 0 {
-		p.picker.ObserveSlowness(c.subscription.receivedAt, c.upstream.Instance, int(n))
-	}
 	f, _ := p.picker.Slowness(now, c.upstream.Instance)
 	return f
 }
 
+// isUneven reports whether an upstream of a request's service has ever named its slowness. p.mu must be held.
+func (p *Proxy) isUneven(x *exchange) bool {
+	return p.picker.Uneven(p.snapshot.Load().services[x.service.Name])
+}
+
 // withSlowness adds the slowness of a decode engine to its cost for a request. Slow engines get fewer runs, and
 // shorter ones, as long as others have room; one at which the stream would pause for too long is the last with room.
 func (p *Proxy) withSlowness(x *exchange, cost, slowness float64, hasRoom bool) float64 {
@@ -52,31 +54,29 @@
 	e.gaps[service] += averageWeight * (gap - e.gaps[service])
 }
 
-// prefillTime returns how long an engine is expected to take to prefill some tokens. Engines count as equal unless one
-// of the service has named its slowness. p.mu must be held.
+// prefillTime returns how long an engine is expected to take to prefill some tokens; engines count as equal unless one of
+// the service has named its slowness. p.mu must be held.
 func (p *Proxy) prefillTime(now time.Time, x *exchange, c candidate, tokens int64) time.Duration {
+	if e := p.engineStats; e.remotePrefill.perToken == 0 || !p.isUneven(x) {
+		return e.remotePrefill.estimate(tokens)
+	}
+	return p.unevenPrefillTime(now, c, tokens)
+}
+
+// initialTokenTime is the time to prefill a token that orders engines until a prefill was seen.
+const initialTokenTime = 20 * time.Microsecond
+
+// unevenPrefillTime is prefillTime by the engine's own speed and slowness. p.mu must be held.
+func (p *Proxy) unevenPrefillTime(now time.Time, c candidate, tokens int64) time.Duration {
 	average := p.engineStats.remotePrefill
-	if !p.picker.Uneven(p.snapshot.Load().services[x.service.Name]) {
-		return average.estimate(tokens)
+	if average.perToken == 0 {
+		average.perToken = float64(initialTokenTime)
 	}
 	own, _ := p.engineStats.prefillSpeeds.Get(c.upstream.Instance)
 	s := own.within(average)
 	return time.Duration(p.slowness(now, c) * float64(s.estimate(tokens)))
 }
 
-// prefillOrder returns the key by which prefill engines of a rank are ordered: the tokens of the backlog, or their
-// expected time and that of the prompt if the engines of the service are uneven. p.mu must be held.
-func (p *Proxy) prefillOrder(now time.Time, x *exchange, c candidate, backlog int64) float64 {
-	if !p.picker.Uneven(p.snapshot.Load().services[x.service.Name]) {
-		return float64(backlog)
-	}
-	n := backlog + x.call.PromptTokens
-	if p.engineStats.remotePrefill.perToken == 0 {
-		return p.slowness(now, c) * float64(n)
-	}
-	return float64(p.prefillTime(now, x, c, n))
-}
-
 // recordPrefill records the time in which a prefill engine has prefilled some tokens, as if it were at usual speed.
 func (p *Proxy) recordPrefill(c candidate, tokens int64, took time.Duration) {
 	now := time.Now()
