--- a/coord/picker/finish.go
+++ b/coord/picker/finish.go
@@ -14,6 +14,9 @@
 	remoteCost = 25 * time.Millisecond
 	// equalShare is the part of a job's work by which two expected finishes may differ and count as equal.
 	equalShare = 0.15
+	// nearShare is the part of a job's target within which this data centre has to serve it to be kept. The rest is for
+	// what others send meanwhile, and for slowness that begins.
+	nearShare = 0.5
 	// unknownWork is the work of a job of which nothing is known.
 	unknownWork = 20 * time.Millisecond
 )
@@ -57,8 +60,8 @@
 // finish is when a job is expected to be done by an upstream.
 type finish struct {
 	upstream *roster.Upstream
-	// in is the time until then, with surcharges for failures. inTime is whether that is within the job's
-	// target, an error of its work included.
+	// in is the time until then, with surcharges for failures. inTime is whether that, and an error of the work, is
+	// well within the job's target.
 	in     time.Duration
 	inTime bool
 }
@@ -92,7 +95,7 @@
 		in := time.Duration(slowness * (s.outstanding(now, u.Slots, mean, j) + float64(j.Work)))
 		in += time.Duration(failureWeight * s.failureRate * float64(j.Work))
 		e := time.Duration(slowness * float64(j.Error))
-		l = append(l, finish{u, in, in+e <= j.Target})
+		l = append(l, finish{u, in, in+e <= time.Duration(nearShare*float64(j.Target))})
 	}
 	return l
 }
