--- a/coord/cost/cost.go
+++ b/coord/cost/cost.go
@@ -91,6 +91,7 @@
 	x := work.Seconds()
 	at(t.services, k.Service).add(x)
 	if len(t.routes) >= maxKeys {
+		// Nearly all are of former configurations.
 		clear(t.routes)
 	}
 	at(t.routes, Key{k.Service, k.Route, ""}).add(x)
--- a/coord/cost/cost_test.go
+++ b/coord/cost/cost_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -163,3 +164,24 @@
 		x.Expect(k)
 	}
 }
+
+// BenchmarkTable fills a table with 13,000 workspaces and reports its memory.
+func BenchmarkTable(b *testing.B) {
+	names := make([]string, 13_000)
+	for i := range names {
+		names[i] = fmt.Sprint("workspace-", i)
+	}
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		x := NewTable()
+		for _, n := range names {
+			x.Observe(Key{"api", "read", n}, time.Millisecond)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B/table")
+		runtime.KeepAlive(x)
+	}
+}
--- a/coord/picker/finish.go
+++ b/coord/picker/finish.go
@@ -60,6 +60,7 @@
 // finish is when a job is expected to be done by an upstream.
 type finish struct {
 	upstream *roster.Upstream
+	stats    *upstreamStats
 	// in is the time until then, with surcharges for failures. inTime is whether that, and an error of the work, is
 	// well within the job's target.
 	in     time.Duration
@@ -84,28 +85,29 @@
 // finishes returns the expected finish on each candidate that isn't ejected.
 func (p *Picker) finishes(now time.Time, candidates []roster.Upstream, j Job) []finish {
 	l := make([]finish, 0, len(candidates))
-	mean := p.meanOthers(now, candidates)
 	for i := range candidates {
 		u := &candidates[i]
-		s := p.statsFor(u.Instance)
-		if now.Before(s.ejectedUntil) {
-			continue
+		if s := p.statsFor(u.Instance); !now.Before(s.ejectedUntil) {
+			l = append(l, finish{upstream: u, stats: s})
 		}
+	}
+	mean := meanOthers(now, l)
+	for i := range l {
+		u, s := l[i].upstream, l[i].stats
 		slowness, _ := p.speeds.Slowness(now, u.Instance)
-		in := time.Duration(slowness * (s.outstanding(now, u.Slots, mean, j) + float64(j.Work)))
-		in += time.Duration(failureWeight * s.failureRate * float64(j.Work))
-		e := time.Duration(slowness * float64(j.Error))
-		l = append(l, finish{u, in, in+e <= time.Duration(nearShare*float64(j.Target))})
+		in := slowness*(s.outstanding(now, u.Slots, mean, j)+float64(j.Work)) + failureWeight*s.failureRate*float64(j.Work)
+		l[i].in = time.Duration(in)
+		l[i].inTime = in+slowness*float64(j.Error) <= nearShare*float64(j.Target)
 	}
 	return l
 }
 
 // meanOthers returns how many requests of others an upstream has on average, of those that reported lately.
-func (p *Picker) meanOthers(now time.Time, l []roster.Upstream) float64 {
+func meanOthers(now time.Time, l []finish) float64 {
 	sum, n := 0, 0
-	for i := range l {
-		if s := p.statsFor(l[i].Instance); now.Sub(s.loadAt) < loadMaxAge {
-			sum += s.others
+	for _, f := range l {
+		if now.Sub(f.stats.loadAt) < loadMaxAge {
+			sum += f.stats.others
 			n++
 		}
 	}
