--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -40,7 +40,7 @@
 		sends:           opsrv.Counters(r, "proxy_sends_total", "Sends to upstreams.", "purpose", "result"),
 		answers:         opsrv.Counters(r, "proxy_answers_total", "Answers of upstreams that were relayed, by how they were framed and how reading them ended.", "framing", "end"),
 		upstreamStates:  opsrv.Counters(r, "proxy_upstream_states_total", "What upstreams said of themselves in answers: that they leave, want a pause, name a limit or their slowness, or something that can't be understood.", "state"),
-		placed:          opsrv.Counters(r, "proxy_placed_total", "Plain requests placed by expected finish, by the slowness of the upstream then: usual or slow.", "upstream"),
+		placed:          opsrv.Counters(r, "proxy_placed_total", "Requests sent to upstreams of which one has named its slowness, by that of the upstream then: usual or slow.", "upstream"),
 		workEstimates:   opsrv.Counters(r, "proxy_work_estimates_total", "Answers whose work was within one error of the estimate, or beyond.", "error"),
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		upstreamsEnded:  opsrv.Counter(r, "proxy_upstreams_ended_total", "Requests under which their upstream ended."),
--- a/entry/proxy/pick.go
+++ b/entry/proxy/pick.go
@@ -10,10 +10,10 @@
 	"github.com/sirupsen/logrus"
 )
 
-// placement is what was known when a plain request was last placed. It is empty unless an upstream of the service has
-// ever named its slowness.
+// placement is what was known when a request was last placed. It is empty unless an upstream of the service has ever
+// named its slowness.
 type placement struct {
-	// expected is the work that the picker counts for the request; it doesn't change with further attempts.
+	// expected is the work that the picker counts for a plain request; it doesn't change with further attempts.
 	expected cost.Estimate
 	// slowness is that of the upstream, and age how long ago the upstream named it; 0 if it never did.
 	slowness float64
@@ -22,16 +22,17 @@
 
 // fields returns what a log line tells of a placement.
 func (l placement) fields() logrus.Fields {
-	if l.expected.Work == 0 {
-		return nil
+	f := logrus.Fields{}
+	if l.slowness > 0 {
+		f["slowness"] = l.slowness
+		f["slowness-age-ms"] = l.age.Milliseconds()
 	}
-	return logrus.Fields{
-		"work-ms":         l.expected.Work.Milliseconds(),
-		"work-error-ms":   l.expected.Error.Milliseconds(),
-		"work-samples":    l.expected.Samples,
-		"slowness":        l.slowness,
-		"slowness-age-ms": l.age.Milliseconds(),
+	if l.expected.Work > 0 {
+		f["work-ms"] = l.expected.Work.Milliseconds()
+		f["work-error-ms"] = l.expected.Error.Milliseconds()
+		f["work-samples"] = l.expected.Samples
 	}
+	return f
 }
 
 // pickUpstream picks an upstream that was not tried yet and may get a request now. One that is said to
@@ -60,13 +61,19 @@
 	if !ok {
 		u, ok = p.picker.Pick(now, saidToLeave, j)
 	}
-	if ok && j.Work > 0 {
-		x.placement.slowness, x.placement.age = p.picker.Slowness(now, u.Instance)
-		p.metrics.placed.WithLabelValues(slownessLabel(x.placement.slowness)).Inc()
-	}
 	return u, ok
 }
 
+// notePlacement notes the slowness of the upstream to which a request is sent, if the upstreams of its service are
+// uneven. p.mu must be held.
+func (p *Proxy) notePlacement(now time.Time, x *exchange, u roster.Upstream) {
+	if !p.isUneven(x) {
+		return
+	}
+	x.placement.slowness, x.placement.age = p.picker.Slowness(now, u.Instance)
+	p.metrics.placed.WithLabelValues(slownessLabel(x.placement.slowness)).Inc()
+}
+
 // slowFrom is the slowness from which an upstream counts as slow in the metrics.
 const slowFrom = 1.5
 
--- a/entry/proxy/pick_test.go
+++ b/entry/proxy/pick_test.go
@@ -59,6 +59,7 @@
 	if w := x.placement.expected.Work; w < 18*time.Millisecond || w > 22*time.Millisecond {
 		t.Errorf("expected work %v, want about 20ms", w)
 	}
+	p.notePlacement(time.Now(), x, picked)
 	l, hook := test.NewNullLogger()
 	p.log = l
 	p.finish(x)
@@ -80,6 +81,7 @@
 	}
 	x := request()
 	p.pickUpstream(x, nil)
+	p.notePlacement(time.Now(), x, u)
 	if d := cmp.Diff(placement{}, x.placement, cmp.AllowUnexported(placement{})); d != "" {
 		t.Errorf("placement (-want +got):\n%s", d)
 	}
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -57,6 +57,9 @@
 	p.mu.Lock()
 	p.picker.CallStarted(u.Instance, p.job(now, x))
 	p.sendBegan(u)
+	if !params.Prefill {
+		p.notePlacement(now, x, u)
+	}
 	p.mu.Unlock()
 	resp, err := p.conns.Do(ctx, u.Address, &upconn.Request{
 		Method:             x.r.Method,
