picker: an upstream that fails isn't kept for being near

The surcharge for failures was a part of the job's work, so that for short calls it weighed less than the way to another data centre, and an upstream that failed counted as serving in time.

--- a/coord/picker/finish.go
+++ b/coord/picker/finish.go
@@ -17,6 +17,9 @@
 	// nearShare is the part of a job's target within which this data centre has to serve it to be kept. The rest is for
 	// what others send meanwhile, and for slowness that begins.
 	nearShare = 0.5
+	// failureTime is what a failed call costs at least: a retry, or an error for the caller. With remoteCost it makes up
+	// for another data centre at the failure rate at which the score does.
+	failureTime = 600 * time.Millisecond
 	// unknownWork is the work of a job of which nothing is known.
 	unknownWork = 20 * time.Millisecond
 )
@@ -62,7 +65,7 @@
 	upstream *roster.Upstream
 	stats    *upstreamStats
 	// in is the time until then, with surcharges for failures. inTime is whether that, and an error of the work, is
-	// well within the job's target.
+	// well within the job's target, and the upstream seldom fails.
 	in     time.Duration
 	inTime bool
 }
@@ -91,13 +94,14 @@
 			l = append(l, finish{upstream: u, stats: s})
 		}
 	}
-	mean := meanOthers(now, l)
+	mean, failure := meanOthers(now, l), max(float64(failureTime), failureWeight*float64(j.Work))
 	for i := range l {
 		u, s := l[i].upstream, l[i].stats
 		slowness, _ := p.speeds.Slowness(now, u.Instance)
-		in := slowness*(s.outstanding(now, u.Slots, mean, j)+float64(j.Work)) + failureWeight*s.failureRate*float64(j.Work)
+		in := slowness*(s.outstanding(now, u.Slots, mean, j)+float64(j.Work)) + s.failureRate*failure
 		l[i].in = time.Duration(in)
-		l[i].inTime = in+slowness*float64(j.Error) <= nearShare*float64(j.Target)
+		isSound := failureWeight*s.failureRate <= remoteWeight
+		l[i].inTime = isSound && in+slowness*float64(j.Error) <= nearShare*float64(j.Target)
 	}
 	return l
 }
--- a/coord/picker/uneven_test.go
+++ b/coord/picker/uneven_test.go
@@ -162,3 +162,20 @@
 		t.Error("no upstream is picked while all are ejected")
 	}
 }
+
+// TestFailingUpstreamIsNotKeptForNearness checks that an upstream which fails a third of its calls gets few of them,
+// although it is the only one of its data centre, calls are short, and its health check is good.
+func TestFailingUpstreamIsNotKeptForNearness(t *testing.T) {
+	l := upstreams("failing", "far")
+	l[1].DataCentre = "away"
+	p := New("home", 1)
+	p.ObserveSlowness(epoch, "failing", 100)
+	j := Job{Work: 15 * time.Millisecond, Error: 5 * time.Millisecond, Target: 120 * time.Millisecond}
+	for i := range 40 {
+		p.CallStarted("failing", j)
+		p.CallEnded(epoch, "failing", j, []Result{Failed, Succeeded, Succeeded}[i%3], nil)
+	}
+	if n := countJobs(p, epoch, l, j, 20)["failing"]; n > 2 {
+		t.Errorf("a failing upstream got %d of 20 calls", n)
+	}
+}
