place: workspaces share an engine's places, and less urgent classes keep a part

One workspace within its rate limit that sends many times its usual took the places of all others, since requests waited in the order of time alone, and nothing kept what a workspace had had. Start-time fair queueing as in coord/queue was ruled out here: it forgets what was granted while nobody waited, and orders by tags alone, where a request that is about to be late should come first. The manager now keeps decaying accounts by workspace; those beyond the fair level come after the others of their class, are refused by their own turn, and give way. A class that waits is owed a part of the granted work. With one workspace and class the order is as before.

--- a/coord/admit/hold.go
+++ b/coord/admit/hold.go
@@ -82,6 +82,8 @@
 		MaxTokens:    q.Most,
 		Priority:     int(q.Priority),
 		ExpiresAt:    now.Add(microseconds(q.PatienceMicros)),
+		Workspace:    q.Workspace,
+		Weight:       q.Weight,
 	}
 	if q.TimelyMicros > 0 {
 		a.StartBy = now.Add(microseconds(q.TimelyMicros))
@@ -189,11 +191,17 @@
 	s := m.ledger.State(time.Now())
 	age := time.Since(m.reportedAt)
 	m.mu.Unlock()
-	m.log.WithFields(logrus.Fields{
+	f := logrus.Fields{
 		"event": "place", "engine": m.settings.Upstream, "request": q.Request, "prompt": q.Prompt, "most": q.Most, "granted": o.Granted,
 		"reason": o.Reason, "waited-ms": waited.Milliseconds(), "running": s.Running, "waiting": s.Waiting,
 		"room": s.MaxPromptTokens, "report-age-ms": age.Milliseconds(),
-	}).Info("place request granted or refused")
+	}
+	if o.Standing.Shared {
+		m.settings.Metrics.sharedPlaces.WithLabelValues(boolLabel(o.Granted), boolLabel(o.Standing.OverShare)).Inc()
+		f["workspace"], f["weight"], f["ahead"] = q.Workspace, q.Weight, o.Standing.Ahead
+		f["had"], f["fair"] = int64(o.Standing.Had), int64(o.Standing.Fair)
+	}
+	m.log.WithFields(f).Info("place request granted or refused")
 }
 
 func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/coord/place/bench_test.go
+++ b/coord/place/bench_test.go
@@ -39,3 +39,22 @@
 		s.State(epoch)
 	}
 }
+
+// BenchmarkTick passes over a queue in which many requests of several workspaces wait.
+func BenchmarkTick(b *testing.B) {
+	for _, workspaces := range []int{1, 16} {
+		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
+			s := New()
+			s.SetSlots(12)
+			s.Observe(epoch, Report{MemoryTokens: 60000, StartUnixMillis: 1})
+			for i := range 60 {
+				r := newRequest(fmt.Sprint(i), 5000, 500, time.Minute, time.Hour)
+				r.Workspace, r.Weight = fmt.Sprint(i%workspaces), 1
+				s.Submit(epoch, r)
+			}
+			for b.Loop() {
+				s.Tick(epoch)
+			}
+		})
+	}
+}
--- a/coord/place/choose_test.go
+++ b/coord/place/choose_test.go
@@ -16,8 +16,9 @@
 	// length is the number of tokens of the answer, and generated those of them that exist.
 	length, generated int64
 	// engine is the index of the engine at which the request waits or runs.
-	engine  int
-	granted bool
+	engine    int
+	granted   bool
+	grantedAt time.Time
 	// overlookedSince is since when another engine has had a place for the waiting request.
 	overlookedSince time.Time
 }
@@ -45,7 +46,7 @@
 			delete(r.jobs, o.RequestID)
 			continue
 		}
-		j.granted = true
+		j.granted, j.grantedAt = true, now
 		r.waits = append(r.waits, now.Sub(j.arrived))
 	}
 }
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -15,9 +15,13 @@
 // expiry, which is their order of arrival if all may wait equally long. A request that is
 // not expected to get a place before it expires is refused at once, with the time at which
 // a place is likely.
+//
+// Where several workspaces compete, those that have had more than their share come after the
+// others of their priority, and where several priorities do, each keeps a least share.
 package place
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -48,8 +52,30 @@
 	StartBy time.Time
 	// ExpiresAt is when the request is refused if it has no place yet.
 	ExpiresAt time.Time
+	// Workspace is charged with the run; empty if that isn't known.
+	Workspace string
+	// Weight is the workspace's relative share when places are short; 0 counts as 1.
+	Weight int64
+}
+
+// cost is the work that a request is charged with, in the unit of rate limits.
+func (r Request) cost() float64 { return float64(max(1, r.PromptTokens+r.MaxTokens)) }
+
+// weight returns the relative share of the workspace; 0 for an anonymous request.
+func (r Request) weight() float64 {
+	if r.isAnonymous() {
+		return 0
+	}
+	return float64(max(1, r.Weight))
 }
 
+// isAnonymous reports whether the request names neither a workspace nor a weight, as those of entries
+// of an earlier release.
+func (r Request) isAnonymous() bool { return r.Workspace == "" && r.Weight <= 0 }
+
+// isTimely reports whether the answer can still begin when the caller wants it.
+func (r Request) isTimely(now time.Time) bool { return r.StartBy.After(now) }
+
 // Outcome is the decision on a Request.
 type Outcome struct {
 	RequestID string
@@ -59,6 +85,8 @@
 	// RetryAt is set if the request was refused: the time at which a place is likely, or the
 	// current time with ReasonTooLarge, as such a request never gets one.
 	RetryAt time.Time
+	// Standing is that of the request's workspace when the decision was made.
+	Standing Standing
 }
 
 // Reasons for refusals, as callers receive them.
@@ -66,6 +94,7 @@
 	ReasonTooLarge    = "larger than the engine's memory"
 	ReasonNoPlace     = "no place is expected in time"
 	ReasonWaitExpired = "no place came free in time"
+	ReasonOverShare   = "the workspace has had its share, and no place is expected in time"
 )
 
 // run is a granted request that the engine processes.
@@ -87,10 +116,15 @@
 	slots           int
 	startUnixMillis int64
 	runs            map[string]*run
-	queue           []Request
+	// queue is in the order of service as of the last Tick or Submit.
+	queue    []waiting
+	accounts accounts
+	classes  classes
 	// lengths is learned from completed answers.
 	lengths lengthModel
 	rand    *rand.Rand
+	// jitter spreads the returns of refused callers. Plans don't depend on it.
+	jitter *rand.Rand
 	// candidateQuantiles are the length quantiles of runs that aren't granted yet.
 	candidateQuantiles quantiles
 	// stepTime is the average duration of a step of the batch.
@@ -126,11 +160,14 @@
 		runs:               map[string]*run{},
 		lengths:            newLengthModel(),
 		rand:               r,
+		jitter:             rand.New(rand.NewPCG(3, 4)),
 		candidateQuantiles: newQuantiles(r),
 		stepTime:           initialStepTime,
 		avgMaxTokens:       initialAvgTokens,
 		avgPromptTokens:    initialAvgTokens,
 		ignoreUntil:        map[string]time.Time{},
+		accounts:           accounts{byWorkspace: map[string]*account{}},
+		classes:            classes{owed: map[int]float64{}},
 	}
 	for _, o := range opts {
 		o(s)
@@ -153,32 +190,18 @@
 	if s.memoryTokens > 0 && peakTokens([]growth{{r.PromptTokens, r.MaxTokens}}) > s.memoryTokens {
 		return []Outcome{{RequestID: r.ID, Reason: ReasonTooLarge, RetryAt: now}}
 	}
-	if w := s.expectedWait(now, r, s.queuedAhead(now, r)); now.Add(w).After(r.ExpiresAt) {
-		return []Outcome{{RequestID: r.ID, Reason: ReasonNoPlace, RetryAt: now.Add(w)}}
-	}
-	s.queue = append(s.queue, r)
-	return s.Tick(now)
-}
-
-// queuedAhead returns the number of queued requests that are served before r.
-func (s *Scheduler) queuedAhead(now time.Time, r Request) (n int) {
-	for _, q := range s.queue {
-		if compareRequests(now, q, r) <= 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// expectedWait returns the time until a request is expected to fit. The parameter ahead is the
-// number of requests that are queued before it.
-func (s *Scheduler) expectedWait(now time.Time, r Request, ahead int) time.Duration {
+	s.classes.observe(r)
+	s.queue = append(s.queue, waiting{Request: r})
+	isShared := s.sortQueue(now)
 	p := s.plan(now)
-	c := s.candidate(p, r)
-	if ahead == 0 && p.fits(c) {
-		return 0
+	out, ok := s.checkHopeless(now, p, s.indexOf(r.ID))
+	if ok {
+		return []Outcome{out}
+	}
+	if isShared {
+		return append(s.refuseDisplaced(now, p, r.ID), s.Tick(now)...)
 	}
-	return time.Duration(p.stepsUntilFit(c, ahead)) * s.stepTime
+	return s.Tick(now)
 }
 
 // medianQuantile is the quantile of the answer lengths from which waits are estimated.
@@ -193,7 +216,9 @@
 		for i := range p.scenarios {
 			p.scenarios[i] = append(p.scenarios[i], growth{used, p.lengths.remainingTokens(generated, r.maxTokens, r.lengthQuantiles[i])})
 		}
-		p.expected = append(p.expected, growth{used, p.lengths.remainingTokens(generated, r.maxTokens, medianQuantile)})
+		remaining := p.lengths.remainingTokens(generated, r.maxTokens, medianQuantile)
+		p.expected = append(p.expected, growth{used, remaining})
+		p.answerTokens += generated + remaining
 	}
 	return p
 }
@@ -217,18 +242,21 @@
 }
 
 // compareRequests orders queued requests: those whose StartBy has not passed first, then by
-// priority, then by StartBy, or by ExpiresAt if both are late.
-func compareRequests(now time.Time, a, b Request) int {
-	timely := func(x Request) bool { return x.StartBy.After(now) }
+// priority, then those of workspaces within their share, then by StartBy, or by ExpiresAt if both
+// are late.
+func compareRequests(now time.Time, a, b *waiting) int {
+	timely := a.isTimely(now)
 	switch {
-	case timely(a) != timely(b):
-		if timely(a) {
+	case timely != b.isTimely(now):
+		if timely {
 			return -1
 		}
 		return 1
 	case a.Priority != b.Priority:
 		return a.Priority - b.Priority
-	case timely(a):
+	case a.excess != b.excess:
+		return cmp.Compare(a.excess, b.excess)
+	case timely:
 		return a.StartBy.Compare(b.StartBy)
 	}
 	return a.ExpiresAt.Compare(b.ExpiresAt)
@@ -237,23 +265,21 @@
 // Tick refuses the requests that have expired. It then grants requests from the head of the
 // queue until one doesn't fit; smaller ones behind that one wait.
 func (s *Scheduler) Tick(now time.Time) (out []Outcome) {
-	s.queue = slices.DeleteFunc(s.queue, func(r Request) bool {
-		if now.Before(r.ExpiresAt) {
-			return false
-		}
-		w := s.expectedWait(now, r, 0)
-		out = append(out, Outcome{RequestID: r.ID, Reason: ReasonWaitExpired, RetryAt: now.Add(w)})
-		return true
-	})
-	slices.SortStableFunc(s.queue, func(a, b Request) int { return compareRequests(now, a, b) })
+	out = s.refuseExpired(now)
+	isShared := s.sortQueue(now)
 	for len(s.queue) > 0 {
 		r := s.queue[0]
-		if p := s.plan(now); !p.fits(s.candidate(p, r)) {
+		if p := s.plan(now); !p.fits(s.candidate(p, r.Request)) {
 			break
 		}
 		s.queue = s.queue[1:]
 		s.runs[r.ID] = &run{promptTokens: r.PromptTokens, usedTokens: r.PromptTokens, maxTokens: r.MaxTokens, lengthQuantiles: newQuantiles(s.rand), grantedAt: now}
-		out = append(out, Outcome{RequestID: r.ID, Granted: true})
+		out = append(out, Outcome{RequestID: r.ID, Granted: true, Standing: r.standing})
+		s.accounts.charge(now, r.Request)
+		if isShared {
+			s.classes.charge(r.Request, s.queue)
+			isShared = s.sortQueue(now)
+		}
 	}
 	return out
 }
@@ -264,7 +290,7 @@
 		s.ignoreUntil[id] = now.Add(s.reportLag + cancelTime)
 	}
 	delete(s.runs, id)
-	s.queue = slices.DeleteFunc(s.queue, func(r Request) bool { return r.ID == id })
+	s.queue = slices.DeleteFunc(s.queue, func(w waiting) bool { return w.ID == id })
 	return s.Tick(now)
 }
 
@@ -306,7 +332,7 @@
 		st.MaxPromptTokens = p.maxPromptTokens(s.candidate(p, average))
 	}
 	if st.MaxPromptTokens < int64(s.avgPromptTokens) {
-		st.ExpectedWait = s.expectedWait(now, average, len(s.queue))
+		st.ExpectedWait = s.expectedWait(p, average, len(s.queue))
 	}
 	return st
 }
--- a/coord/place/plan.go
+++ b/coord/place/plan.go
@@ -53,6 +53,8 @@
 	scenarios [scenarioCount][]growth
 	// expected holds the growth of each run for an answer of median length.
 	expected []growth
+	// answerTokens is the sum of the expected lengths of the runs' answers.
+	answerTokens int64
 }
 
 // candidate is the predicted growth of one run that isn't granted yet. Its fields correspond
