slots, proxy: plain requests wait in a fair queue while slots are short

Where plain upstreams refused requests for want of room, the entry tried upstream after upstream and then sent callers back after a fixed time, so whoever sent most was served most. Ruled out: trying more upstreams (each refused send costs work and budget), and a fixed number of sends in flight (an entry doesn't know its part of the slots). A refusal now limits the entry's sends to the service as congestion control does, and requests beyond the limit wait in coord/queue, by workspace and weight, while they can be answered in their target; hopeless ones are refused at once, with a Retry-After from the rate at which slots come free. Entries also name workspace and weight in requests for places.

--- a/coord/queue/queue.go
+++ b/coord/queue/queue.go
@@ -93,6 +93,12 @@
 // Pop removes the item that is served next and returns its value; ok is false if the
 // queue is empty.
 func (q *Queue[T]) Pop(now time.Time) (v T, ok bool) {
+	_, v, ok = q.PopFrom(now)
+	return v, ok
+}
+
+// PopFrom is Pop and returns the workspace of the item as well.
+func (q *Queue[T]) PopFrom(now time.Time) (workspace string, v T, ok bool) {
 	best := -1
 	for i := range q.items {
 		if best < 0 || q.precedes(&q.items[i], &q.items[best], now) {
@@ -100,12 +106,12 @@
 		}
 	}
 	if best < 0 {
-		return v, false
+		return "", v, false
 	}
 	i := q.items[best]
 	q.advance(&i)
 	q.remove(best)
-	return i.Value, true
+	return i.Workspace, i.Value, true
 }
 
 // precedes reports whether a is served before b. The item a must have arrived after b: if both
@@ -135,6 +141,13 @@
 	}
 }
 
+// Refund takes back the charge for an item that was popped but could not be served.
+func (q *Queue[T]) Refund(i Item[T]) {
+	if f, ok := q.finishTags[i.Workspace]; ok {
+		q.finishTags[i.Workspace] = f - i.normalizedCost()
+	}
+}
+
 // Drop removes the items for which drop returns true and returns their values, the
 // newest first.
 func (q *Queue[T]) Drop(drop func(T) bool) (dropped []T) {
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -82,8 +82,11 @@
 	// reservationSlack is the time from the last request for a reservation to the latest grant
 	// with which the answer begins on time.
 	reservationSlack time.Duration
-	// waited is the time from the request until a reservation was granted or finally refused.
-	waited      time.Duration
+	// waited is the time from the request until a reservation was granted or finally refused, or the time for
+	// which a plain request waited for slots.
+	waited time.Duration
+	// queued is the number of requests that waited for a slot of a plain upstream when this one came.
+	queued      int
 	prefillTime time.Duration
 	// firstEvent is the time from the request to the first part of the answer.
 	firstEvent time.Duration
@@ -219,6 +222,9 @@
 	if r.outcome != outcomeAnswered && x.fingerprint != "" {
 		f["fingerprint"] = x.fingerprint
 	}
+	if r.queued > 0 {
+		f["queued"], f["weight"] = r.queued, p.shareWeight(x)
+	}
 	if r.localPrefill {
 		f["own-read"] = true
 	}
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -19,6 +19,7 @@
 	connections     prometheus.Counter
 	upstreamsEnded  prometheus.Counter
 	quarantined     prometheus.Counter
+	slotWaits       *prometheus.CounterVec
 	resumed         *prometheus.CounterVec
 	storeReads      prometheus.Counter
 	storeReadErrors prometheus.Counter
@@ -46,6 +47,7 @@
 		upstreamsEnded:  opsrv.Counter(r, "proxy_upstreams_ended_total", "Requests under which their upstream ended."),
 		quarantined:     opsrv.Counter(r, "proxy_quarantined_total", "Checks that stopped a quarantined request, or one with a quarantined part in its prompt."),
 		resumed:         opsrv.Counters(r, "proxy_resumed_total", "Streams that callers took up again, by how it was found which version began them.", "origin"),
+		slotWaits:       opsrv.Counters(r, "proxy_slot_waits_total", "Plain requests that found the upstreams without room, by what became of their wait.", "end"),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
 		storeEpochs:     opsrv.Counter(r, "store_epochs_total", "New epochs of the store: it was restored from a copy."),
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/upconn"
@@ -32,16 +33,24 @@
 	tried := map[string]bool{}
 	var last error
 	for range maxPlainUpstreams {
+		if e := p.awaitSlot(x); e != nil {
+			p.failWaiting(x, e, last)
+			return
+		}
 		if e := cmp.Or(p.checkStillAllowed(x), p.checkEvacuated(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
+			p.endSlot(x, false, nil, 0)
 			p.fail(x, e)
 			return
 		}
 		u, ok := p.pickUpstream(x, tried)
 		if !ok || !p.drawRetryBudget(x, x.attempts) {
+			p.endSlot(x, false, nil, 0)
 			break
 		}
 		tried[u.Instance] = true
+		began := time.Now()
 		done, err := p.tryUpstream(x, u)
+		p.endSlot(x, done, err, time.Since(began))
 		if done {
 			return
 		}
@@ -51,7 +60,20 @@
 		p.fail(x, unknownOutcomeFault(last))
 		return
 	}
-	p.fail(x, overloadedFault(plainRetryAfter, "all upstreams are full or out of reach"))
+	p.fail(x, overloadedFault(p.plainRetryAfter(x), "all upstreams are full or out of reach"))
+}
+
+// failWaiting fails a request that waited for a slot. If it may have run at an upstream before, its outcome is
+// unknown.
+func (p *Proxy) failWaiting(x *exchange, e *fault.Error, last error) {
+	switch {
+	case x.ctx.Err() != nil:
+		p.failContextDone(x, x.ctx.Err())
+	case x.mayHaveRun:
+		p.fail(x, unknownOutcomeFault(last))
+	default:
+		p.fail(x, e)
+	}
 }
 
 // tryUpstream sends a plain request to an upstream. It returns false if another may be tried.
@@ -78,7 +100,7 @@
 	case info.NotExecuted || info.WrongInstance:
 		_ = resp.Body.Close()
 		p.recordResult(x, u, refusalResult(info), info.Load, "call")
-		return false, errRefused
+		return false, refusalError(info)
 	}
 	x.mayHaveRun = true
 	if resp.Status >= http.StatusInternalServerError && p.mayRetry(x) && p.drawRetryBudget(x, x.attempts) {
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -177,6 +177,8 @@
 	origins  *origin.Table
 	versions *origin.History
 	evac     *evac.Table
+	// shares holds what is needed to share places and slots among workspaces.
+	shares shares
 }
 
 // Start runs an entry. The returned function stops it at once; see Drain for a graceful shutdown.
--- a/entry/proxy/reserve.go
+++ b/entry/proxy/reserve.go
@@ -177,7 +177,7 @@
 		c.subscription.pendingReservations--
 		p.mu.Unlock()
 	}()
-	q := &wire.HoldRequest{
+	q := p.withShare(x, &wire.HoldRequest{
 		Request:        x.call.ID,
 		Prompt:         x.call.PromptTokens,
 		Most:           x.call.MaxTokens,
@@ -186,7 +186,7 @@
 		PatienceMicros: max(0, time.Until(expiresAt)).Microseconds(),
 		Slots:          int32(x.service.Engine.Slots),
 		Instance:       c.upstream.Instance,
-	}
+	})
 	r, release, err := p.reserve(ctx, c.subscription, q)
 	return reservationResult{reservation{c, release}, r, err}
 }
