--- a/coord/place/bench_test.go
+++ b/coord/place/bench_test.go
@@ -58,3 +58,16 @@
 		})
 	}
 }
+
+// BenchmarkCharge charges a grant where as many workspaces as are kept have accounts.
+func BenchmarkCharge(b *testing.B) {
+	a := accounts{byWorkspace: map[string]*account{}}
+	for i := range maxAccounts {
+		a.charge(epoch, Request{Workspace: fmt.Sprint(i), Weight: 1, PromptTokens: 1 << 40})
+	}
+	now := epoch
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		a.charge(now, Request{Workspace: "0", Weight: 1, PromptTokens: 1})
+	}
+}
--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -82,6 +82,9 @@
 // IsLimited reports whether slots are short.
 func (g *Gate[T]) IsLimited() bool { return g.limit > 0 }
 
+// InFlight returns the number of sends that haven't ended.
+func (g *Gate[T]) InFlight() int { return g.inFlight }
+
 // Limit returns the number of sends that may be in flight; 0 for no limit.
 func (g *Gate[T]) Limit() float64 { return g.limit }
 
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -48,9 +48,7 @@
 			break
 		}
 		tried[u.Instance] = true
-		began := time.Now()
-		done, err := p.tryUpstream(x, u)
-		p.endSlot(x, done, err, time.Since(began))
+		done, err := p.tryInSlot(x, u)
 		if done {
 			return
 		}
--- a/entry/proxy/share.go
+++ b/entry/proxy/share.go
@@ -8,6 +8,7 @@
 
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/slots"
 	"cranberrypoint.example/coord/wire"
@@ -224,6 +225,13 @@
 	return p.slotRetryAfter(now, g, p.slotRequest(now, x, g.ServiceTime(), nil))
 }
 
+// tryInSlot is tryUpstream for a request that has a slot, which it gives back also if the answer is aborted.
+func (p *Proxy) tryInSlot(x *exchange, u roster.Upstream) (done bool, err error) {
+	began := time.Now()
+	defer func() { p.endSlot(x, done, err, time.Since(began)) }()
+	return p.tryUpstream(x, u)
+}
+
 // endSlot ends a send that awaitSlot has allowed and lets others go. done and err are the result of tryUpstream.
 func (p *Proxy) endSlot(x *exchange, done bool, err error, took time.Duration) {
 	now := time.Now()
@@ -240,7 +248,7 @@
 		g.Withdraw()
 	}
 	if !wasLimited && g.IsLimited() {
-		p.log.WithField("event", "slots-short").WithField("service", x.service.Name).WithField("in-flight", g.Limit()).Info("upstreams refuse requests for want of room; sends are limited")
+		p.log.WithField("event", "slots-short").WithField("service", x.service.Name).WithField("in-flight", g.InFlight()).Info("upstreams refuse requests for want of room; sends are limited")
 	}
 	p.admitWaiting(now, g)
 }
--- a/entry/proxy/share_test.go
+++ b/entry/proxy/share_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
 	"github.com/google/go-cmp/cmp"
@@ -114,6 +115,28 @@
 	}
 }
 
+// TestAbortedAnswerEndsItsSlot checks that a send whose answer is aborted by a panic, as broken-off ones are, doesn't count as
+// in flight for ever.
+func TestAbortedAnswerEndsItsSlot(t *testing.T) {
+	e := newSharedEntry(t)
+	x := newSharedCall(t, e, "small", time.Second)
+	if f := e.awaitSlot(x); f != nil {
+		t.Fatal(f)
+	}
+	x.route = nil
+	func() {
+		defer func() {
+			if recover() == nil {
+				t.Error("no panic")
+			}
+		}()
+		_, _ = e.tryInSlot(x, roster.Upstream{Instance: "u"})
+	}()
+	if d := cmp.Diff(0, e.gate("app").InFlight()); d != "" {
+		t.Errorf("in flight (-want +got):\n%s", d)
+	}
+}
+
 // waitingForSlots returns the number of requests that wait.
 func (e *simEntry) waitingForSlots() int {
 	e.shares.mu.Lock()
