pacer: cold upstreams get a limit over all processes

An upstream that has just started is idle, attracts everybody's load, and crashes above a few requests a second, of which each process sees only its own. The table of limits that upstreams name now holds both: a request needs a token from each. A cold upstream's limit doubles four times once it is warm and then ends. Words of upstreams, starts and gossip count by ColdWord.Source; a shorter one only of the upstream itself and only if it is surely later.

Equal shares as for named limits don't do: all buckets may be full at once, 40 requests where 6 are allowed, and both parts of a partition take the dead ones' shares. So only as many processes hold a bucket as the overage and the slack allow (Bound), and only processes that hear most of those that they remember have a share (Fleet), 4 s after they began to. Ruled out: shrinking the fleet by what most of it sees (the parts of a second partition then both count themselves as most); a time after which a process that hasn't met its seeds counts all the same below the length of a partition.

--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -41,6 +41,9 @@
 	// isolationTimeout is the time without a request or reply from any member after which a
 	// process counts as isolated.
 	isolationTimeout = 900 * time.Millisecond
+	// joinTimeout is the time after which a process that has met some member, but not most of its seeds, takes the
+	// others for gone.
+	joinTimeout = 10 * time.Minute
 	// heartbeatsPerSeedExchange is the average number of heartbeats per exchange with a random
 	// seed while members are live. Clusters that formed separately merge through these exchanges.
 	heartbeatsPerSeedExchange = 5
@@ -67,6 +70,8 @@
 	lastContact time.Time
 	// heartbeats is the number of heartbeats since the process started.
 	heartbeats int
+	// hasJoined is true once HasJoined was.
+	hasJoined bool
 }
 
 // New returns the members as known to a process that starts: only itself. The seeds are the
@@ -151,6 +156,34 @@
 	return len(m.otherSeeds())
 }
 
+// HasJoined reports whether the process has met more than half of its seeds, itself included, or any member long ago.
+// Until then it may have started in a small part of a cluster that is partitioned. It stays true.
+func (m *Members) HasJoined() bool {
+	if m.hasJoined {
+		return true
+	}
+	met := len(m.seeds) - len(m.otherSeeds())
+	for _, k := range m.known {
+		if slices.Contains(m.seeds, k.record.Address) {
+			met++
+		}
+	}
+	isOld := !m.lastContact.IsZero() && time.Duration(m.heartbeats)*GossipInterval > joinTimeout
+	m.hasJoined = len(m.otherSeeds()) == 0 || 2*met > len(m.seeds) || isOld
+	return m.hasJoined
+}
+
+// KnownNames returns the names of the members of a role whose records are held, dead or alive, without the process
+// itself, sorted.
+func (m *Members) KnownNames(role string) (l []string) {
+	for _, n := range m.names {
+		if m.known[n].record.Role == role {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
 // randomSeedAddress returns the address of a random seed that isn't the process itself, or "".
 func (m *Members) randomSeedAddress() string {
 	others := m.otherSeeds()
@@ -283,6 +316,16 @@
 	return n
 }
 
+// HeardNames returns the names of the members that CountHeard counts, sorted.
+func (m *Members) HeardNames(now time.Time, role string) (l []string) {
+	for _, n := range m.names {
+		if k := m.known[n]; k.record.Role == role && now.Sub(k.receivedAt) <= m.failureTimeout() {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
 // CountMissing returns the number of members of a role that are known and whose beats stopped
 // without their having announced that they leave. A new process that has had no contact with
 // any member adds the number of other seeds, whatever the role.
--- a/coord/mesh/mesh.go
+++ b/coord/mesh/mesh.go
@@ -260,6 +260,28 @@
 	return m.members.CountHeard(now, role), m.members.CountMissing(now, role)
 }
 
+// KnownNames returns the names of the known members of a role, live or not, without the process itself, sorted.
+func (m *Mesh) KnownNames(role string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.KnownNames(role)
+}
+
+// HeardNames returns the names of the members of a role whose heartbeats arrive, without the process itself, sorted. It
+// includes those that have announced that they are leaving.
+func (m *Mesh) HeardNames(role string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.HeardNames(time.Now(), role)
+}
+
+// HasJoined reports whether the process has met most of its seeds. See member.Members.HasJoined.
+func (m *Mesh) HasJoined() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.HasJoined()
+}
+
 // Isolated reports whether the process knows other members but has lost contact with all
 // of them.
 func (m *Mesh) Isolated() bool {
--- a/coord/rumor/rumor.go
+++ b/coord/rumor/rumor.go
@@ -33,6 +33,7 @@
 		SuspectsHash: r.Poison.Hash(now),
 		Limits:       r.Pacer.Report(now),
 		Evacuations:  r.Evac.Report(now),
+		Cold:         r.Pacer.ReportCold(now),
 	}
 }
 
@@ -52,5 +53,6 @@
 	if !r.ReadsStore {
 		r.Evac.Merge(now, m.Evacuations)
 	}
-	return r.Poison.Merge(now, m.Suspects)
+	isNews := r.Pacer.MergeCold(now, m.Cold)
+	return r.Poison.Merge(now, m.Suspects) || isNews
 }
