store: cold times of registrations, terms of services

Registrations may name the time for which their upstreams stay cold, services how long that is after a start and how many requests they take meanwhile, and answers name the time left in a header. None was read.

--- a/coord/calls/calls.go
+++ b/coord/calls/calls.go
@@ -91,6 +91,10 @@
 	// Limit is the number of requests a second that the upstream takes from all its clients together;
 	// 0 if it names none.
 	Limit float64
+	// Cold is the time for which the upstream stays cold, in which it takes few requests; 0 if the response doesn't say.
+	// IsWarm is true if it says that the upstream isn't cold.
+	Cold   time.Duration
+	IsWarm bool
 	// Invalid is a header about the upstream's state that can't be understood, as "name: value". What
 	// of it is malformed has no effect. It is empty if there is none.
 	Invalid string
@@ -188,6 +192,9 @@
 	LacksEvacuated bool
 	// KeptEvacuations are those that another entry keeps although a restored store has lost them.
 	KeptEvacuations []evac.Kept
+	// Cold holds the time for which upstreams stay cold, by instance; 0 for one that says that it is warm. Those that don't
+	// say are missing.
+	Cold map[string]time.Duration
 	// InvalidEntries counts the upstreams in the store that are left out of Upstreams because
 	// they can't be parsed or are invalid.
 	InvalidEntries int
--- a/coord/rules/rules.go
+++ b/coord/rules/rules.go
@@ -87,6 +87,10 @@
 	MaxConnections int `yaml:"max-connections"`
 	// Engine is nil if the upstreams are not model engines.
 	Engine *Engine `yaml:"engine"`
+	// ColdTime is how long an upstream of the service is cold after its start. ColdRate is the number of
+	// requests a second that it takes from all processes together meanwhile; 0 means no such limit.
+	ColdTime time.Duration `json:",omitzero" yaml:"cold-time"`
+	ColdRate float64       `json:",omitzero" yaml:"cold-rate"`
 }
 
 // Workspace is a customer with its keys and rate limit.
