proxy: entries keep cold upstreams to their limit

Entries learn from registrations, answers, starts in lists and gossip which upstreams are cold, and take a token before each send. Upstreams of the first list aren't held to have just started: their times of start are those of other clocks. A send that didn't reach the upstream, or got 421, gives its token back. assumeCold is for upstreams of a data centre that is taken back. A log line and a counter tell when an upstream becomes cold, a line when it is warm. Services without a rate are served as before.

--- /dev/null
+++ b/entry/proxy/cold.go
@@ -0,0 +1,111 @@
+package proxy
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/mesh"
+	"cranberrypoint.example/coord/pacer"
+	"cranberrypoint.example/coord/roster"
+	"cranberrypoint.example/coord/rules"
+	"github.com/sirupsen/logrus"
+)
+
+// maxStarts is the number of remembered starts above which those of upstreams that aren't listed are forgotten.
+const maxStarts = 4096
+
+// defaultColdBound is tolerated where the settings don't say what is.
+var defaultColdBound = pacer.Bound{Overage: 1.5, Slack: 5}
+
+// coldShare returns how many requests a second this entry may send to a cold upstream that takes perSecond from all.
+func (p *Proxy) coldShare(instance string, perSecond float64) float64 {
+	if !p.fleet.MaySend(time.Now()) {
+		return 0
+	}
+	known := append(p.mesh.KnownNames(mesh.RoleEntry), p.settings.VM)
+	return p.settings.ColdBound.Share(instance, perSecond, p.settings.VM, known)
+}
+
+// observeFleet records which other entries this one hears.
+func (p *Proxy) observeFleet(now time.Time) {
+	p.fleet.Observe(now, pacer.View{
+		Heard: p.mesh.HeardNames(mesh.RoleEntry), Joined: p.mesh.HasJoined(), Isolated: p.mesh.Isolated(),
+	})
+}
+
+// chill records a word on the cold time of an upstream. Nothing happens where its service has no limit for cold ones.
+// p.mu need not be held.
+func (p *Proxy) chill(now time.Time, r *rules.Rules, u roster.Upstream, w pacer.ColdWord) {
+	s := r.Service(u.Service)
+	if s == nil || s.ColdRate <= 0 {
+		return
+	}
+	w.PerSecond, w.Ramp = s.ColdRate, s.ColdTime
+	if p.pacer.ObserveCold(now, u.Instance, w) {
+		p.mesh.Spread()
+	}
+}
+
+// assume holds an upstream to be cold for the usual time of its service.
+func (p *Proxy) assume(now time.Time, r *rules.Rules, u roster.Upstream, source pacer.Source) {
+	if s := r.Service(u.Service); s != nil {
+		p.chill(now, r, u, pacer.ColdWord{Source: source, Remaining: s.ColdTime, AsOf: now})
+	}
+}
+
+// assumeCold holds an upstream of a data centre that was taken back to be cold for the usual time of its service, unless
+// its registration says otherwise later. p.mu must be held.
+func (p *Proxy) assumeCold(now time.Time, u roster.Upstream) {
+	if v := p.snapshot.Load(); v != nil {
+		p.assume(now, v.rules, u, pacer.Returned)
+	}
+}
+
+// learnCold learns from a listing which upstreams are cold: those that say so, and those that start. All that are in the
+// first listing started before, as far as this entry can tell: their own times of start are those of other clocks.
+// p.mu must be held.
+func (p *Proxy) learnCold(now moment, r *rules.Rules, l calls.Listing, asOf time.Time, isFirst bool) {
+	if r == nil {
+		return
+	}
+	listed := p.roster.Listed()
+	if len(p.starts) > maxStarts {
+		maps.DeleteFunc(p.starts, func(i string, _ int64) bool {
+			return !slices.ContainsFunc(listed, func(u roster.Upstream) bool { return u.Instance == i })
+		})
+	}
+	for _, u := range listed {
+		born, isKnown := p.starts[u.Instance]
+		p.starts[u.Instance] = u.Born
+		if !isFirst && (!isKnown || born != u.Born) {
+			p.assume(now.time, r, u, pacer.Started)
+		}
+		if d, ok := l.Cold[u.Instance]; ok {
+			p.chill(now.time, r, u, pacer.ColdWord{Source: pacer.Registered, Remaining: d, AsOf: asOf})
+		}
+	}
+}
+
+// observeCold records what an answer of an upstream says of its cold time. sentAt is when the request was sent.
+func (p *Proxy) observeCold(u roster.Upstream, info calls.ResponseInfo, sentAt time.Time) {
+	v := p.snapshot.Load()
+	if v == nil || info.Cold == 0 && !info.IsWarm {
+		return
+	}
+	p.chill(time.Now(), v.rules, u, pacer.ColdWord{Source: pacer.Answered, Remaining: info.Cold, AsOf: sentAt})
+}
+
+// logColdChanges logs and counts the upstreams that have become cold or warm.
+func (p *Proxy) logColdChanges(now time.Time) {
+	for _, c := range p.pacer.ColdChanges(now) {
+		l := p.log.WithFields(logrus.Fields{"instance": c.Instance, "per-second": c.PerSecond, "source": c.Source})
+		if !c.IsCold {
+			l.WithField("event", "upstream-warm").Info("upstream is warm; its limit ends by and by")
+			continue
+		}
+		p.metrics.coldUpstreams.WithLabelValues(string(c.Source)).Inc()
+		l.WithFields(logrus.Fields{"event": "upstream-cold", "share": c.Share, "until-ms": c.Until.Sub(now).Milliseconds()}).Info("upstream is cold and takes few requests of all entries together")
+	}
+}
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -16,6 +16,7 @@
 	upstreamStates  *prometheus.CounterVec
 	placed          *prometheus.CounterVec
 	workEstimates   *prometheus.CounterVec
+	coldUpstreams   *prometheus.CounterVec
 	connections     prometheus.Counter
 	upstreamsEnded  prometheus.Counter
 	quarantined     prometheus.Counter
@@ -43,6 +44,7 @@
 		upstreamStates:  opsrv.Counters(r, "proxy_upstream_states_total", "What upstreams said of themselves in answers: that they leave, want a pause, name a limit or their slowness, or something that can't be understood.", "state"),
 		placed:          opsrv.Counters(r, "proxy_placed_total", "Requests sent to upstreams of which one has named its slowness, by that of the upstream then: usual or slow.", "upstream"),
 		workEstimates:   opsrv.Counters(r, "proxy_work_estimates_total", "Answers whose work was within one error of the estimate, or beyond.", "error"),
+		coldUpstreams:   opsrv.Counters(r, "proxy_cold_upstreams_total", "Upstreams that became cold, by where the entry has that from.", "source"),
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		upstreamsEnded:  opsrv.Counter(r, "proxy_upstreams_ended_total", "Requests under which their upstream ended."),
 		quarantined:     opsrv.Counter(r, "proxy_quarantined_total", "Checks that stopped a quarantined request, or one with a quarantined part in its prompt."),
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -7,6 +7,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -79,8 +80,10 @@
 	// LimitOverdraft is a fixed number of tokens by which grants may exceed the limit in
 	// addition.
 	LimitOverdraft int64
-	Store          calls.Store
-	Codec          calls.Codec
+	// ColdBound is by how much all entries may exceed the limits of cold upstreams; zero for a default.
+	ColdBound pacer.Bound
+	Store     calls.Store
+	Codec     calls.Codec
 	// EngineCodec is for engines without an agent, which this entry may manage.
 	EngineCodec calls.EngineCodec
 	Log         logrus.FieldLogger
@@ -164,6 +167,8 @@
 	storeLost    bool
 	// loggedLimits holds the limits, in requests a second, that upstreams were last seen to name.
 	loggedLimits map[string]float64
+	// starts holds when the upstreams that were ever listed started, by instance.
+	starts map[string]int64
 	// broken holds requests whose upstreams may have ended.
 	broken []brokenOff
 	// returnedAt holds when data centres were last taken back after an evacuation.
@@ -174,6 +179,7 @@
 	// upstreams of a service have had.
 	poison   *poison.Table
 	pacer    *pacer.Table
+	fleet    pacer.Fleet
 	origins  *origin.Table
 	versions *origin.History
 	evac     *evac.Table
@@ -222,6 +228,7 @@
 		leaving:           map[string]time.Time{},
 		heardLeaving:      map[string]hearsay{},
 		loggedLimits:      map[string]float64{},
+		starts:            map[string]int64{},
 		clientConns:       newConnTracker(listeners[0]),
 		stoppedAccepting:  make(chan struct{}),
 		poison:            poison.New(),
@@ -231,7 +238,8 @@
 		returnedAt:        map[string]time.Time{},
 		sendsTo:           map[string]int{},
 	}
-	p.pacer = pacer.New(p.limitShare)
+	p.settings.ColdBound = cmp.Or(s.ColdBound, defaultColdBound)
+	p.pacer = pacer.New(p.limitShare, pacer.WithColdShare(p.coldShare))
 	var closeConns func()
 	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc)
 	self := &wire.Member{
@@ -355,6 +363,8 @@
 func (p *Proxy) afterHeartbeat() {
 	live := p.mesh.Live(mesh.RoleEntry)
 	p.updateEngines(live)
+	p.observeFleet(time.Now())
+	p.logColdChanges(time.Now())
 	heard, missing := p.mesh.Heard(mesh.RoleEntry)
 	hasQuorum := limits.HasQuorum(1+heard, missing) && !p.mesh.Isolated()
 	p.mu.Lock()
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -75,11 +75,17 @@
 		Names:              func(h http.Header) bool { return p.codec.Matches(http.StatusOK, h, x.call.ID) },
 	})
 	if err != nil {
+		if !maybeSent(err) {
+			p.pacer.Return(time.Now(), u.Instance)
+		}
 		p.recordResult(x, u, sendErrorResult(x, err), nil, purpose)
 		p.learnFromError(x, u, err)
 		return nil, calls.ResponseInfo{}, err
 	}
 	info := p.codec.ResponseInfo(resp.Status, resp.Header)
+	if info.WrongInstance {
+		p.pacer.Return(time.Now(), u.Instance)
+	}
 	p.observeUpstream(u, info, now)
 	p.observeSlowness(u, info)
 	if resp.Status < http.StatusMultipleChoices && !info.Signed && !params.Prefill {
--- a/entry/proxy/upstate.go
+++ b/entry/proxy/upstate.go
@@ -50,6 +50,7 @@
 	if !info.WrongInstance {
 		p.pacer.Observe(time.Now(), sentAt, u.Instance, info.Limit)
 		p.logLimit(u, info.Limit)
+		p.observeCold(u, info, sentAt)
 	}
 	if info.Leaving {
 		p.announceLeaving(u)
@@ -180,7 +181,7 @@
 }
 
 // checkAvailable refuses a request if all upstreams of its service have asked for a pause, or named limits of
-// which this entry has used up its share.
+// which this entry has used up its share, or are cold and take no more of it for now.
 func (p *Proxy) checkAvailable(x *exchange) *fault.Error {
 	if x.mayHaveRun {
 		return nil
@@ -205,7 +206,7 @@
 		return nil
 	}
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return fault.NotRun(fault.Overloaded, "all upstreams have asked for a pause or named limits that are used up").WithRetryAt(pause.ReturnAt(now, first, r))
+	return fault.NotRun(fault.Overloaded, "all upstreams have asked for a pause or named limits that are used up, or are cold").WithRetryAt(pause.ReturnAt(now, first, r))
 }
 
 // limitShare returns the part of an upstream's limit that this entry may use.
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -132,6 +132,7 @@
 		for _, c := range p.roster.Update(now.time, roster.List{Epoch: l.Epoch, ReadAt: now.before(readAt), Upstreams: l.Upstreams}) {
 			p.handleRosterChange(c)
 		}
+		p.learnCold(now, r, l, now.before(readAt), old == nil)
 		p.upstreams.Set(p.roster.Listed())
 		p.seeVersions(now.time)
 		if !l.LacksEvacuated {
--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -84,6 +84,7 @@
 		returnedAt:   map[string]time.Time{},
 		sendsTo:      map[string]int{},
 		leaving:      map[string]time.Time{},
+		starts:       map[string]int64{},
 		heardLeaving: map[string]hearsay{},
 		mesh:         mesh.New(&wire.Member{Name: "z", Role: mesh.RoleEntry}, nil, links, log),
 	}
