entry: requests stay in the regions that route and workspace allow

A configuration may name allowed regions for a route and for a workspace; the entry ignored both, and sent requests, prompts and KV caches anywhere.

Cause: exchange.accepts knew the version of a stream only, and prefill engines weren't asked at all. Ruled out: filtering the list of upstreams once for each configuration (it would be needed for each pair of route and workspace), a check at agents (they get neither prompts nor routes), status 403 (callers don't repeat it).

Change: coord/region decides, accepts asks it wherever an upstream is picked, and the bounds are taken anew from the configuration in force before each placement and send, while a request waits, and before a KV cache is fetched. Route and workspace both bind. None left: 503 no_upstream_in_region without Retry-After, a counter. Lists that can't be read allow nothing and are logged once for each configuration. Without lists nothing changes.

--- a/coord/fault/fault.go
+++ b/coord/fault/fault.go
@@ -63,6 +63,8 @@
 	StreamUnknown Code = "stream_unknown"
 	// VersionGone means that a stream can't go on, since no upstream of the version that began it is left.
 	VersionGone Code = "version_gone"
+	// OutOfRegion means that no upstream is in a region in which the request may run.
+	OutOfRegion Code = "no_upstream_in_region"
 	// NotReady means that the process can't serve requests yet or for now.
 	NotReady Code = "not_ready"
 )
--- a/coord/rules/rules.go
+++ b/coord/rules/rules.go
@@ -62,6 +62,8 @@
 	Public bool `json:"Open" yaml:"public"`
 	// Resumable is true if a streaming request may run more than once.
 	Resumable bool `yaml:"resumable"`
+	// AllowedRegions are the regions in which the route's requests may run; empty for any.
+	AllowedRegions []string `json:",omitempty" yaml:"allowed-regions"`
 }
 
 // Engine describes the model engines of a service.
@@ -108,6 +110,9 @@
 	// DefaultTokens is the number of tokens charged for a request that doesn't state its own
 	// number. It is not used if CountsRequests is true.
 	DefaultTokens int64 `json:"PlainTokens" yaml:"default-tokens"`
+	// AllowedRegions are the regions in which the workspace's requests may run, besides those of
+	// the route; empty for any.
+	AllowedRegions []string `json:",omitempty" yaml:"allowed-regions"`
 }
 
 // Limits bound the size of callers' requests, the time to receive their headers, and the
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -228,7 +228,7 @@
 func (p *Proxy) pickPrefill(x *exchange, version string, tried map[string]bool) (best candidate, backlog int64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.candidates(x.service.Name, wire.Stage_STAGE_PREFILL, tried)
+	l := x.inBounds(p.candidates(x.service.Name, wire.Stage_STAGE_PREFILL, tried))
 	now, mean := time.Now(), meanBacklog(l)
 	uneven := p.isUneven(x)
 	var lowest int
--- a/entry/proxy/evacuate.go
+++ b/entry/proxy/evacuate.go
@@ -35,6 +35,17 @@
 		p.logEvacuation("evacuation-ended", d, l)
 		p.metrics.evacuations.WithLabelValues(d, "ended").Inc()
 		p.returnedAt[d] = now.time
+		p.assumeReturnedCold(now.time, d)
+	}
+}
+
+// assumeReturnedCold holds the upstreams of a data centre that was taken back to be cold: they may have
+// been restarted while nobody looked. p.mu must be held.
+func (p *Proxy) assumeReturnedCold(now time.Time, dataCentre string) {
+	for _, u := range p.roster.Usable() {
+		if u.DataCentre == dataCentre {
+			p.assumeCold(now, u)
+		}
 	}
 }
 
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -14,6 +14,7 @@
 	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/origin"
 	"cranberrypoint.example/coord/poison"
+	"cranberrypoint.example/coord/region"
 	"cranberrypoint.example/coord/rules"
 	"github.com/sirupsen/logrus"
 )
@@ -45,6 +46,9 @@
 	tokens int64
 	// origin is where the stream began that the request takes up again; its version is empty for none.
 	origin origin.Origin
+	// bounds are the regions in which the request may run, and regions those of the data centres.
+	bounds  region.Bounds
+	regions map[string]string
 	// prefillDeadline is when the prefill of a stream must end for its answer to begin on time.
 	prefillDeadline time.Time
 	// kvCache is the prompt's KV cache on a prefill engine, if there is one.
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -21,6 +21,7 @@
 	upstreamsEnded  prometheus.Counter
 	quarantined     prometheus.Counter
 	slotWaits       *prometheus.CounterVec
+	outOfRegion     prometheus.Counter
 	resumed         *prometheus.CounterVec
 	storeReads      prometheus.Counter
 	storeReadErrors prometheus.Counter
@@ -48,6 +49,7 @@
 		connections:     opsrv.Counter(r, "proxy_connections_total", "Connections opened to upstreams."),
 		upstreamsEnded:  opsrv.Counter(r, "proxy_upstreams_ended_total", "Requests under which their upstream ended."),
 		quarantined:     opsrv.Counter(r, "proxy_quarantined_total", "Checks that stopped a quarantined request, or one with a quarantined part in its prompt."),
+		outOfRegion:     opsrv.Counter(r, "proxy_out_of_region_total", "Requests refused since no upstream was in a region that is allowed for them."),
 		resumed:         opsrv.Counters(r, "proxy_resumed_total", "Streams that callers took up again, by how it was found which version began them.", "origin"),
 		slotWaits:       opsrv.Counters(r, "proxy_slot_waits_total", "Plain requests that found the upstreams without room, by what became of their wait.", "end"),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -37,7 +37,7 @@
 			p.failWaiting(x, e, last)
 			return
 		}
-		if e := cmp.Or(p.checkStillAllowed(x), p.checkEvacuated(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
+		if e := cmp.Or(p.checkStillAllowed(x), p.checkEvacuated(x), p.checkRegions(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
 			p.endSlot(x, false, nil, 0)
 			p.fail(x, e)
 			return
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -9,6 +9,7 @@
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/place"
+	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/upconn"
 	"cranberrypoint.example/coord/wire"
 )
@@ -27,6 +28,8 @@
 // is none.
 type kvCache struct {
 	source string
+	// holder is the engine that holds the cache.
+	holder roster.Upstream
 	// expires is when the engine may have dropped the cache.
 	expires time.Time
 	free    func()
@@ -125,7 +128,7 @@
 	}
 	x.record.prefillTime = time.Since(began)
 	p.recordPrefill(c, backlog+x.call.PromptTokens, x.record.prefillTime)
-	k.source = p.codec.KVSource(c.upstream.Address, h)
+	k.source, k.holder = p.codec.KVSource(c.upstream.Address, h), c.upstream
 	k.expires = time.Now().Add(time.Duration(kvCacheLifetimeShare * float64(x.service.Engine.HoldTime)))
 	k.free = func() { p.tasks.Go(func() { p.freeKVCache(c, h) }) }
 	return k
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -55,6 +55,9 @@
 type Settings struct {
 	VM         string
 	DataCentre string
+	// Regions holds the region of each data centre. Upstreams elsewhere are in no region that a
+	// configuration allows.
+	Regions map[string]string
 	// ClientAddress is the listen address of the HTTP server for callers.
 	ClientAddress string
 	// OpsAddress is the listen address of readiness, metrics and status.
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -40,7 +40,7 @@
 	}
 	// A decode engine may have been picked seconds ago, before the waits for a reservation and for
 	// the prefill.
-	if err := cmp.Or(p.checkUpstream(u), p.checkPinned(x, u)); err != nil {
+	if err := cmp.Or(p.checkUpstream(u), p.checkPinned(x, u), x.checkSource(params)); err != nil {
 		return nil, calls.ResponseInfo{}, err
 	}
 	now := time.Now()
--- a/entry/proxy/reserve.go
+++ b/entry/proxy/reserve.go
@@ -134,10 +134,11 @@
 
 // checkWaiting reports why a request should no longer wait for a place at an upstream; nil if it should.
 func (p *Proxy) checkWaiting(x *exchange, u roster.Upstream) error {
-	if e := cmp.Or(p.checkQuarantine(x), p.checkVersion(x)); e != nil {
+	p.refreshBounds(x)
+	if e := cmp.Or(p.checkRegions(x), p.checkQuarantine(x), p.checkVersion(x)); e != nil {
 		return e
 	}
-	return p.checkUpstream(u)
+	return cmp.Or(p.checkUpstream(u), p.checkPinned(x, u))
 }
 
 // moveReservation asks another engine that has room now, if there is one, to grant a reservation
--- a/entry/proxy/resume.go
+++ b/entry/proxy/resume.go
@@ -50,9 +50,9 @@
 }
 
 // accepts reports whether a request may go to an upstream of its service. A stream goes on only at the version of the
-// software that began it.
+// software that began it, and nothing leaves the regions that are allowed.
 func (x *exchange) accepts(u roster.Upstream) bool {
-	return x.origin.Version == "" || u.Version == x.origin.Version
+	return (x.origin.Version == "" || u.Version == x.origin.Version) && x.isInBounds(u)
 }
 
 // pinResumed finds where the stream began that a request takes up again, and lets it go on only there. It refuses
@@ -207,8 +207,8 @@
 	return fault.NotRun(fault.VersionGone, "no upstream runs version %s, which began the stream", v).WithRetryAt(time.Now().Add(versionRetryAfter))
 }
 
-// checkPinned reports why a stream that waited may no longer be sent to an upstream: another process, of another
-// version, has started under its name since it was picked.
+// checkPinned reports why a request that waited may no longer be sent to an upstream: since it was picked, another
+// process, of another version, has started under its name, or its region is no longer allowed.
 func (p *Proxy) checkPinned(x *exchange, u roster.Upstream) error {
 	for _, n := range p.snapshot.Load().services[u.Service] {
 		if n.Instance == u.Instance && !x.accepts(n) {
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -210,6 +210,7 @@
 			return fault.NotRun(fault.BadKey, "the key is not granted")
 		}
 	}
+	p.updateBounds(x, v, t)
 	if t.Serves(x.service.Name) {
 		return nil
 	}
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -42,7 +42,7 @@
 	x.prefillDeadline = p.prefillDeadline(x)
 	tried := map[string]bool{}
 	for range maxDecodeTries {
-		if e := cmp.Or(p.checkStillAllowed(x), p.checkEvacuated(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
+		if e := cmp.Or(p.checkStillAllowed(x), p.checkEvacuated(x), p.checkRegions(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
 			x.kvCache.discard()
 			p.fail(x, e)
 			return
@@ -90,6 +90,7 @@
 		p.fail(x, overloadedFault(streamRetryAfter, "the retry budget is spent"))
 		return true
 	}
+	p.dropForeignKVCache(x)
 	source := x.kvCache.source
 	resp, info, err := p.sendDecode(x, res, source)
 	if err == nil && info.NotExecuted && source != "" && p.drawRetryBudget(x, x.attempts) {
