evacuated: data centres behind the OpenAI interface can be emptied

Nothing there let an operator keep work from all upstreams of a data centre; listing each VM as leaving needs many writes and doesn't move what already waits.

Change: a key evacuated/DATA-CENTRE beside the settings tree marks the agents of that data centre in the list of VMs. Entries choose none of them, and place calls to models again whose slot or prompt is there; agents refuse what hasn't started; no KV cache is fetched from there. Calls in progress end. Who is a member, its epoch and shares don't change. A log line and a counter for each evacuation and its end.

Ruled out: a field of the settings' root (an invalid tree would hold it up).

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -58,6 +58,8 @@
 	// Version is that of the upstream's software. An answer doesn't go on at another one. It may be empty.
 	Version string `json:"version,omitempty"`
 	State   State  `json:"state"`
+	// Evacuated is true for an agent whose data centre is evacuated: its upstream takes no new work.
+	Evacuated bool `json:"-"`
 	// CreatedRevision is the revision at which the platform added the VM to its list.
 	CreatedRevision uint64 `json:"-"`
 }
@@ -132,6 +134,8 @@
 	vms      []VM
 	removed  []RemovedVM
 	byName   map[string]VM
+	// evacuated are the data centres whose upstreams take no new work.
+	evacuated []string
 	// cache holds the results of LiveAgents and Agents by liveAgentsKey and agentsKey.
 	cache *sync.Map
 }
@@ -223,12 +227,12 @@
 
 type liveAgentsKey struct{ service, stage, model string }
 
-// LiveAgents returns the agents in state Live that serve a service, stage and model, in
+// LiveAgents returns the agents that take new work and serve a service, stage and model, in
 // all data centres, sorted by name. An empty model matches all models. Callers must not
 // change the slice.
 func (l *List) LiveAgents(service, stage, model string) []VM {
 	return l.cachedFilter(liveAgentsKey{service, stage, model}, func(v VM) bool {
-		return v.State == Live && v.Serves(service, stage, model)
+		return v.TakesWork() && v.Serves(service, stage, model)
 	})
 }
 
--- a/coord/router/place.go
+++ b/coord/router/place.go
@@ -214,7 +214,7 @@
 	q.usage.CachedTokens = d.CachedTokens
 	q.prefilled = true
 	q.mayHaveRun()
-	q.pendingKVCache = &wire.Feed{Handle: d.Handle, Source: d.Source}
+	q.pendingKVCache, q.kvCacheVM = &wire.Feed{Handle: d.Handle, Source: d.Source}, q.prefill.vm
 	r.emit(AckRun{q.prefill.ref, d.Size})
 	if !q.main.live {
 		r.openNextRun(q)
@@ -223,8 +223,14 @@
 	r.sendFeed(q)
 }
 
-// sendFeed tells the main run, which has a slot, where to fetch its KV cache.
+// sendFeed tells the main run, which has a slot, where to fetch its KV cache. Nothing is fetched from an
+// engine that takes no new work since its data centre is evacuated: the prompt is prefilled again.
 func (r *Router) sendFeed(q *request) {
+	if r.isEvacuated(q.kvCacheVM) {
+		q.pendingKVCache = nil
+		r.openPrefillRun(q)
+		return
+	}
 	q.phase = relaying
 	r.trace(trace.Fed, q, q.main.vm, "")
 	r.emit(FeedRun{q.main.ref, q.pendingKVCache})
--- a/coord/router/request.go
+++ b/coord/router/request.go
@@ -101,6 +101,8 @@
 	// pendingKVCache says where to fetch the KV cache that a finished prefill computed. It
 	// is nil if there is none or a decode run has been told of it.
 	pendingKVCache *wire.Feed
+	// kvCacheVM is the VM of the engine that holds pendingKVCache.
+	kvCacheVM string
 	// recheckAt is the time of the next attempt in the phases awaitingUpstream and
 	// outcomeUnknown.
 	recheckAt time.Time
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -181,6 +181,7 @@
 		r.recordGoneVMs()
 	}
 	r.reserver.Configure(r.tree, r.list)
+	r.leaveEvacuated()
 }
 
 // callerDisconnected cancels a request whose caller is gone.
--- a/coord/spread/store.go
+++ b/coord/spread/store.go
@@ -14,6 +14,10 @@
 // the name of the VM, its value a fleet.VM as JSON.
 const VMPrefix = "vms/"
 
+// EvacuatedPrefix is the prefix of the platform's keys that evacuate a data centre, the rest of such a key, as
+// long as the key exists. Its value isn't read.
+const EvacuatedPrefix = "evacuated/"
+
 // store holds the newest change of each key of the platform, and the settings tree and
 // list of VMs that were built from them.
 type store struct {
@@ -28,7 +32,7 @@
 	changedKeys map[string]bool
 	tree        *tree.Tree
 	list        *fleet.List
-	// vmsRevision is the revision of the newest change of a VM.
+	// vmsRevision is the revision of the newest change of a VM, or of what is evacuated.
 	vmsRevision uint64
 }
 
@@ -57,7 +61,7 @@
 			c = &wire.Change{Key: c.Key, Value: old.Value, Revision: c.Revision, Created: old.Created, Deleted: true}
 		}
 		s.items[c.Key] = c
-		if strings.HasPrefix(c.Key, VMPrefix) {
+		if strings.HasPrefix(c.Key, VMPrefix) || strings.HasPrefix(c.Key, EvacuatedPrefix) {
 			s.vmsRevision = max(s.vmsRevision, c.Revision)
 		}
 		if tree.Owns(c.Key) {
@@ -123,7 +127,7 @@
 	return nil
 }
 
-// rebuildList builds the list of VMs anew if a VM has changed. A VM that can't be decoded
+// rebuildList builds the list of VMs anew if a VM, or what is evacuated, has changed. A VM that can't be decoded
 // is left out.
 func (s *store) rebuildList() {
 	if s.vmsRevision == s.list.Revision() {
@@ -131,7 +135,11 @@
 	}
 	var vms []fleet.VM
 	var removed []fleet.RemovedVM
+	var evacuated []string
 	for k, c := range s.items {
+		if dc, ok := strings.CutPrefix(k, EvacuatedPrefix); ok && !c.Deleted {
+			evacuated = append(evacuated, dc)
+		}
 		name, ok := strings.CutPrefix(k, VMPrefix)
 		if !ok {
 			continue
@@ -146,5 +154,5 @@
 			vms = append(vms, v)
 		}
 	}
-	s.list = fleet.NewList(s.vmsRevision, vms).WithRemovedVMs(removed)
+	s.list = fleet.NewList(s.vmsRevision, vms).WithRemovedVMs(removed).WithEvacuated(s.vmsRevision, evacuated)
 }
--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -129,6 +129,8 @@
 	// leaving is true while the list of VMs that comes with the settings shows this VM as
 	// leaving.
 	leaving bool
+	// evacuated is true while nothing may be sent to the upstream but what runs there already.
+	evacuated bool
 	// draining is true once this process was told to drain.
 	draining bool
 	runs     map[RunID]*run
@@ -288,18 +290,23 @@
 	}})
 }
 
-// refusesNewRuns reports whether the agent is leaving or draining. Existing runs continue.
-func (w *Worker) refusesNewRuns() bool { return w.leaving || w.draining }
+// refusesNewRuns reports whether the agent is leaving, draining or evacuated. Runs that have started continue.
+func (w *Worker) refusesNewRuns() bool { return w.leaving || w.draining || w.evacuated }
 
 // handleConfigured adopts a settings tree unless it is older than the present one, and
-// refuses queued runs whose key it revokes.
+// refuses queued runs whose key it revokes. In an evacuated data centre it refuses all runs that haven't
+// started, so that their entries take them elsewhere.
 func (w *Worker) handleConfigured(e Configured) {
 	if e.Tree.Revision() >= w.settings.Revision() {
 		w.settings = e.Tree
 	}
-	w.leaving = e.Leaving
+	w.leaving, w.evacuated = e.Leaving, e.Evacuated
 	for _, id := range w.sortedRunIDs() {
 		r := w.runs[id]
+		if w.evacuated && (r.phase == queued || r.phase == granted) {
+			w.refuseRun(r, fault.NotRun(fault.Leaving, "the data centre is evacuated"))
+			continue
+		}
 		if r.phase == queued && r.open.KeyId != "" && w.keyRevoked(r.open) {
 			w.refuseRun(r, fault.NotRun(fault.BadKey, "the key was withdrawn"))
 		}
--- a/coord/worker/worker_test.go
+++ b/coord/worker/worker_test.go
@@ -147,3 +147,39 @@
 		t.Errorf("calls that the second attempt starts (-want +got):\n%s", d)
 	}
 }
+
+// TestEvacuatedAgentRefusesWhatHasNotStarted evacuates the data centre of an agent with a run in progress, one with a slot whose
+// call hasn't begun, and one that is queued. The last two are refused. Once the evacuation has ended new runs are granted.
+func TestEvacuatedAgentRefusesWhatHasNotStarted(t *testing.T) {
+	w := worker.New(start, 1, worker.WithSlots(2))
+	w.Step(start, worker.Configured{Tree: tree.Empty()})
+	w.Step(start, worker.Opened{Stream: 1, Open: newOpen("runs")})
+	w.Step(start, worker.FeedReceived{Stream: 1, Feed: &wire.Feed{}})
+	w.Step(start, worker.Opened{Stream: 2, Open: newOpen("granted")})
+	w.Step(start, worker.Opened{Stream: 3, Open: newOpen("queued")})
+	e := w.Step(start, worker.Configured{Tree: tree.Empty(), Evacuated: true})
+	var refused []worker.StreamID
+	for _, x := range e {
+		switch s := x.(type) {
+		case worker.Send:
+			if f := s.Reply.GetFail(); f.GetCode() == string(fault.Leaving) && f.GetRan() == wire.Ran_RAN_NO {
+				refused = append(refused, s.Stream)
+			}
+		case worker.AbortCall:
+			t.Errorf("the call of %v is aborted", s.Run)
+		}
+	}
+	if d := cmp.Diff([]worker.StreamID{2, 3}, refused); d != "" || hasGranted(e) {
+		t.Errorf("refused streams, effects %v (-want +got):\n%s", e, d)
+	}
+	if e := w.Step(start, worker.FeedReceived{Stream: 2, Feed: &wire.Feed{}}); len(e) > 0 {
+		t.Errorf("effects of a late message: %v", e)
+	}
+	if e := w.Step(start, worker.Opened{Stream: 4, Open: newOpen("new")}); len(failures(e)) != 1 || hasGranted(e) {
+		t.Errorf("effects of a new run %v, want one refusal", e)
+	}
+	w.Step(start, worker.Configured{Tree: tree.Empty()})
+	if e := w.Step(start, worker.Opened{Stream: 5, Open: newOpen("after")}); !hasGranted(e) {
+		t.Errorf("effects after the end of the evacuation: %v", e)
+	}
+}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -225,6 +225,7 @@
 	e.trace.Add(now, trace.Event{Kind: trace.Adopted, Detail: feed.FormatRevisions(t, l)})
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.noteEvacuations(e.vms, l)
 	e.vms = l
 	e.apply(router.Configured{Tree: t, List: l})
 }
--- a/entry/edge/metrics.go
+++ b/entry/edge/metrics.go
@@ -13,6 +13,7 @@
 	requests    *prometheus.CounterVec
 	runsOpened  *prometheus.CounterVec
 	traceEvents *prometheus.CounterVec
+	evacuations *prometheus.CounterVec
 	runsResumed prometheus.Counter
 	// unsettled counts the settlements that were given up after settleTimeout.
 	unsettled     prometheus.Counter
@@ -30,6 +31,7 @@
 		requests:      opsrv.Counters(r, "entry_requests_total", "Requests by outcome and by whether they ran at an upstream.", "code", "ran"),
 		runsOpened:    opsrv.Counters(r, "entry_runs_opened_total", "Runs opened at agents.", "stage"),
 		traceEvents:   opsrv.Counters(r, "entry_events_total", "Trace events by kind.", "kind"),
+		evacuations:   opsrv.Counters(r, "entry_evacuations_total", "Data centres that were evacuated (began) or taken back (ended).", "change"),
 		runsResumed:   opsrv.Counter(r, "entry_runs_resumed_total", "Runs resumed on a new stream after the old one was lost."),
 		unsettled:     opsrv.Counter(r, "entry_unsettled_total", "Reservations whose holder did not confirm that they were settled."),
 		firstToken:    opsrv.Latency(r, "entry_first_token_seconds", "Time to the first token."),
--- a/local/script/cmds_test.go
+++ b/local/script/cmds_test.go
@@ -6,9 +6,11 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os/exec"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -308,6 +310,42 @@
 	}
 }
 
+// idle CENTRE DURATION checks that no upstream of a data centre gets a call in a time; ! idle waits for one there.
+func idleCmd(s *testscript.TestScript, neg bool, args []string) {
+	needs(s, false, args, 2, "[!] idle CENTRE DURATION")
+	d, err := time.ParseDuration(args[1])
+	s.Check(err)
+	before := callsStarted(s, args[0])
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(poll) {
+		switch now := callsStarted(s, args[0]); {
+		case now == before:
+		case neg:
+			return
+		default:
+			s.Fatalf("calls to upstreams in %s:\n%sthen\n%s", args[0], before, now)
+		}
+	}
+	if neg {
+		s.Fatalf("no call to an upstream in %s in %s", args[0], d)
+	}
+}
+
+// callsStarted returns the counters of calls to the upstreams of a data centre.
+func callsStarted(s *testscript.TestScript, centre string) (lines string) {
+	f := of(s)
+	for _, n := range slices.Sorted(maps.Keys(f.vms)) {
+		if v := f.vms[n]; v.DataCentre != centre || v.Role != fleet.Agent {
+			continue
+		}
+		for l := range strings.Lines(get(s, "http://"+f.vms[n].Ops+"/metrics")) {
+			if strings.HasPrefix(l, "cranberrypoint_agent_calls_started_total") {
+				lines += n + " " + l
+			}
+		}
+	}
+	return lines
+}
+
 // lag DURATION makes the platform's list of VMs lag behind.
 func lagCmd(s *testscript.TestScript, neg bool, args []string) {
 	needs(s, neg, args, 1, "lag DURATION")
--- a/local/script/script_test.go
+++ b/local/script/script_test.go
@@ -80,6 +80,7 @@
 			"logged":   loggedCmd,
 			"effects":  effectsCmd,
 			"empty":    emptyCmd,
+			"idle":     idleCmd,
 			"ops":      opsCmd,
 			"sleep":    sleepCmd,
 			"engines":  enginesCmd,
