--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -55,8 +55,7 @@
 type Settings struct {
 	VM         string
 	DataCentre string
-	// Regions holds the region of each data centre. Upstreams elsewhere are in no region that a
-	// configuration allows.
+	// Regions holds the region of each data centre; see SetRegions.
 	Regions map[string]string
 	// ClientAddress is the listen address of the HTTP server for callers.
 	ClientAddress string
@@ -109,6 +108,8 @@
 	startedAt time.Time
 
 	snapshot atomic.Pointer[snapshot]
+	// regions holds the region of each data centre.
+	regions  atomic.Pointer[map[string]string]
 	draining atomic.Bool
 	// learning is true while a newer configuration is being fetched from another entry.
 	learning atomic.Bool
@@ -243,6 +244,7 @@
 	}
 	p.settings.ColdBound = cmp.Or(s.ColdBound, defaultColdBound)
 	p.pacer = pacer.New(p.limitShare, pacer.WithColdShare(p.coldShare))
+	p.SetRegions(s.Regions)
 	var closeConns func()
 	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc)
 	self := &wire.Member{
--- a/entry/proxy/regions.go
+++ b/entry/proxy/regions.go
@@ -12,10 +12,16 @@
 	"cranberrypoint.example/coord/upconn"
 )
 
+// SetRegions replaces the region of each data centre. Upstreams in data centres that it doesn't name are in no
+// region that a configuration allows. The map must not be changed after the call.
+func (p *Proxy) SetRegions(m map[string]string) { p.regions.Store(&m) }
+
 // updateBounds takes the regions in which a request may run from a configuration in which t is its route. A
 // workspace binds by its key alone, however old the configuration is.
 func (p *Proxy) updateBounds(x *exchange, v *snapshot, t *rules.Route) {
-	x.regions = p.settings.Regions
+	if m := p.regions.Load(); m != nil {
+		x.regions = *m
+	}
 	x.bounds = region.New(t.AllowedRegions)
 	if x.call.Key == "" {
 		return
--- a/entry/proxy/regions_test.go
+++ b/entry/proxy/regions_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	p, x := newTestEntry(t, 0, 1, 0)
 	p.metrics, p.poison = newMetrics(), poison.New()
-	p.settings.Regions = map[string]string{"h": "home", "a": "away"}
+	p.SetRegions(map[string]string{"h": "home", "a": "away"})
 	x.call.Key, x.r, x.path, x.route = "key", &http.Request{Host: "host"}, "/", &rules.Route{}
 	return &boundEntry{p, x}
 }
@@ -144,6 +144,22 @@
 	}
 }
 
+// TestRegionsAreReplaced checks that the regions of data centres may become known while an entry runs.
+func TestRegionsAreReplaced(t *testing.T) {
+	e := newBoundEntry(t)
+	e.adopt(t, []string{"north"}, nil)
+	for _, c := range []struct {
+		regions map[string]string
+		want    bool
+	}{{nil, false}, {map[string]string{"u": "north"}, true}, {map[string]string{"u": "south"}, false}} {
+		e.SetRegions(c.regions)
+		e.refreshBounds(e.x)
+		if d := cmp.Diff(c.want, e.x.isInBounds(e.upstream("u-decode"))); d != "" {
+			t.Errorf("with %v allowed (-want +got):\n%s", c.regions, d)
+		}
+	}
+}
+
 // TestMeshCarriesNoBodies guards the promise that entries pass no request's body on to each other or to agents: the only
 // messages with room for bytes are those of a listing.
 func TestMeshCarriesNoBodies(t *testing.T) {
