regions: allowed regions behind the OpenAI interface

Lists of route, workspace and their ancestors bind.

Change: coord/tree resolves the lists, coord/router looks at them at each choice, for waiting calls when settings change (the same code as for evacuations) and before a KV cache is fetched; agents refuse what hasn't started. None left: refused at once, no Retry-After. A repetition under an idempotency key whose agent was another one by lists replaced within its retry window is answered as unknown, since the first run isn't known where it would go now.

Reducer tests failed with each check taken out: choice, owner of a key, waiting calls, refusal, both checks of the agent, ancestors, past owners. Not tested: more than eight changes of the lists within a retry window.

--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -226,7 +226,7 @@
 	h.reconciler.SetDesired(orders.DesiredModels(t, v.Service))
 	h.mu.Unlock()
 	h.trace.Add(now, trace.Event{Kind: trace.Adopted, Detail: feed.FormatRevisions(t, l)})
-	h.step(worker.Configured{Tree: t, Leaving: v.State == fleet.Leaving, Evacuated: v.Evacuated})
+	h.step(worker.Configured{Tree: t, Leaving: v.State == fleet.Leaving, DataCentre: h.settings.DataCentre, Evacuated: v.Evacuated})
 }
 
 // renewAuthority lets this agent grant tokens from its shares until a.Until. Shares assigned to
--- a/coord/router/evacuate_test.go
+++ b/coord/router/bars_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"cranberrypoint.example/coord/fake"
+	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/fleet"
 	"cranberrypoint.example/coord/router"
 	"cranberrypoint.example/coord/tree"
@@ -142,3 +144,126 @@
 		}
 	}
 }
+
+// boundDoc returns settings in which the data centres a and b are in two regions, with lists of allowed regions.
+func boundDoc(ofRoutes, ofWorkspace string) string {
+	return `
+root: {data-centres: [a], timeout: 20s, patience: 5s, retry-window: 15s, regions: {a: north, b: south}}
+services:
+  gen: {kind: generate}
+  svc: {kind: plain}
+workspaces:
+  w: {rate: 1000000, burst: 10000000, keys: [` + tree.HashKey(apiKey) + `], allowed-regions: ` + ofWorkspace + `}
+routes:
+  m: {service: gen, model: m, allowed-regions: ` + ofRoutes + `}
+  once: {service: svc, path: /once, idempotent: false, allowed-regions: ` + ofRoutes + `}
+  often: {service: svc, path: /often, idempotent: true, allowed-regions: ` + ofRoutes + `}
+`
+}
+
+// bind puts settings with lists of allowed regions into force, and returns the effects.
+func (x *harness) bind(revision uint64, ofRoutes, ofWorkspace string) []router.Effect {
+	x.t.Helper()
+	s, err := tree.FromDoc(revision, []byte(boundDoc(ofRoutes, ofWorkspace)))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	return x.step(router.Configured{Tree: s, List: twoCentres()})
+}
+
+// TestRunsStayInTheirRegions checks where runs begin, of a model and of plain services, with an idempotency key and without,
+// and that requests for which no region is left are refused at once without a time to come back.
+func TestRunsStayInTheirRegions(t *testing.T) {
+	for _, c := range []struct{ ofRoutes, ofWorkspace, want string }{
+		{"[north]", "[]", "a"},
+		{"[]", "[south]", "b"},
+		{"[north, south]", "[south, west]", "b"},
+		{"[north]", "[south]", ""},
+		{"[west]", "[]", ""},
+	} {
+		for seed := range uint64(10) {
+			for _, call := range []router.Call{generatedCall("gen"), plainCall("o", "once", ""), plainCall("k", "once", "key"), plainCall("f", "often", "")} {
+				x := newTwoCentreHarness(t, seed)
+				x.bind(2, c.ofRoutes, c.ofWorkspace)
+				// A key may have been used before the lists: its window must pass.
+				x.now = x.now.Add(16 * time.Second)
+				v := effectsOf[router.Reserve](x.step(router.Arrived{ID: 1, Call: call}))
+				e := x.step(router.ReserveAnswered{ID: 1, VM: v[0].VM, Reply: &wire.ReserveReply{Granted: v[0].Tokens, Holder: true}})
+				opened := effectsOf[router.OpenRun](e)
+				if len(opened) == 1 && call.Route == "m" {
+					opened = append(opened, effectsOf[router.OpenRun](x.step(router.RunGranted{Ref: opened[0].Ref}))...)
+				}
+				for _, o := range opened {
+					if centreOf(o.VM) != c.want {
+						t.Errorf("%v, %s: opened at %s", c, call.Name, o.VM)
+					}
+				}
+				var refused []router.Finish
+				for _, f := range effectsOf[router.Finish](e) {
+					if f.Err.Code == fault.OutOfRegion && f.Err.Ran == wire.Ran_RAN_NO && f.Err.RetryAt.IsZero() {
+						refused = append(refused, f)
+					}
+				}
+				if c.want == "" && len(refused) != 1 || c.want != "" && len(opened) == 0 {
+					t.Errorf("%v, %s: effects %v", c, call.Name, e)
+				}
+			}
+		}
+	}
+}
+
+// TestRegionsChangeWhileWaiting changes the allowed regions while a call to a model waits for its slot, and while its prompt is
+// read: it goes on in the other region, or is refused if none is left.
+func TestRegionsChangeWhileWaiting(t *testing.T) {
+	x := newTwoCentreHarness(t, 1)
+	x.bind(2, "[north]", "[]")
+	main := x.openMainRun(generatedCall("gen"))
+	e := x.bind(3, "[south]", "[]")
+	o := effectsOf[router.OpenRun](e)
+	if s := effectsOf[router.StopRun](e); len(s) != 1 || s[0].Ref != main.Ref || len(o) != 1 || centreOf(o[0].VM) != "b" {
+		t.Fatalf("a call that waits: effects %v", e)
+	}
+	prefill := effectsOf[router.OpenRun](x.step(router.RunGranted{Ref: o[0].Ref}))[0]
+	e = x.bind(4, "[north, south]", "[north]")
+	if s := effectsOf[router.StopRun](e); len(s) != 2 || s[1].Ref != prefill.Ref || centreOf(effectsOf[router.OpenRun](e)[0].VM) != "a" {
+		t.Errorf("a call whose prompt is read: effects %v", e)
+	}
+	f := effectsOf[router.Finish](x.bind(5, "[north]", "[south]"))
+	if len(f) != 1 || f[0].Err.Code != fault.OutOfRegion {
+		t.Errorf("a call whose regions are gone: %v", f)
+	}
+}
+
+// TestKeyIsNotRunInTwoRegions changes the allowed regions after a request under an idempotency key has run. A repetition
+// within the retry window must not run elsewhere; one that its first upstream still may serve goes there, and after the window
+// the key is new.
+func TestKeyIsNotRunInTwoRegions(t *testing.T) {
+	for _, c := range []struct {
+		name, before, after string
+		wait                time.Duration
+		ran                 bool
+	}{
+		{"moved", "[north]", "[south]", time.Second, true},
+		{"moved long ago", "[north]", "[south]", 16 * time.Second, false},
+		{"the same region", "[north]", "[north, west]", time.Second, false},
+	} {
+		x := newTwoCentreHarness(t, 1)
+		x.bind(2, c.before, "[]")
+		call := plainCall("k", "once", "key")
+		call.Digest = "d"
+		first := x.openMainRun(call)
+		x.step(router.RunGranted{Ref: first.Ref})
+		x.step(router.CallerDisconnected{ID: 1})
+		x.bind(3, c.after, "[]")
+		x.now = x.now.Add(c.wait)
+		v := effectsOf[router.Reserve](x.step(router.Arrived{ID: 2, Call: call}))
+		e := x.step(router.ReserveAnswered{ID: 2, VM: v[0].VM, Reply: &wire.ReserveReply{Granted: v[0].Tokens, Holder: true}})
+		isUnknown := false
+		for _, f := range effectsOf[router.Finish](e) {
+			isUnknown = f.Err.Code == fault.OutcomeForgotten && f.Err.Ran == wire.Ran_RAN_UNKNOWN
+		}
+		if d := cmp.Diff([]any{c.ran, !c.ran}, []any{isUnknown, len(effectsOf[router.OpenRun](e)) == 1}); d != "" {
+			t.Errorf("%s: unknown and run, effects %v (-want +got):\n%s", c.name, e, d)
+		}
+	}
+}
--- a/coord/router/place.go
+++ b/coord/router/place.go
@@ -7,6 +7,7 @@
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/fleet"
 	"cranberrypoint.example/coord/trace"
+	"cranberrypoint.example/coord/tree"
 	"cranberrypoint.example/coord/wire"
 )
 
@@ -40,8 +41,12 @@
 		r.awaitUpstream(q, stage)
 		return
 	}
-	if until, gone := r.mayHaveRunOnRemovedVM(q, v.Name); gone {
-		err := fault.NotRun(fault.OutcomeForgotten, "an upstream that is gone may have run the request")
+	until, gone := r.mayHaveRunOnRemovedVM(q, v.Name)
+	if !gone {
+		until, gone = r.mayHaveRunElsewhere(q, v.Name)
+	}
+	if gone {
+		err := fault.NotRun(fault.OutcomeForgotten, "an upstream that is gone, or that isn't allowed now, may have run the request")
 		r.fail(q, err.WithRan(wire.Ran_RAN_UNKNOWN).WithRetryAt(until))
 		return
 	}
@@ -76,6 +81,10 @@
 		r.fail(q, q.lastErr.WithRan(q.ran))
 		return
 	}
+	if err := r.checkRegions(q, stage); err != nil {
+		r.fail(q, err.WithRan(q.ran))
+		return
+	}
 	if r.isVersionGone(q, stage) {
 		r.fail(q, fault.NotRun(fault.VersionGone, "no upstream runs version %s, which began the answer", q.version).WithRan(q.ran))
 		return
@@ -110,9 +119,14 @@
 // included: they refuse requests that are new to them, but still know which requests they
 // executed.
 func (r *Router) ownerOf(q *request) (fleet.VM, bool) {
-	return fleet.Top(r.list.Filter(func(v fleet.VM) bool {
+	return r.ownerUnder(r.tree, q)
+}
+
+// ownerUnder is ownerOf by the allowed regions of a tree.
+func (r *Router) ownerUnder(t *tree.Tree, q *request) (fleet.VM, bool) {
+	return fleet.Top(inBounds(t, q, r.list.Filter(func(v fleet.VM) bool {
 		return !q.excluded[v.Name] && v.Serves(q.service, fleet.Plain, "")
-	}), q.name())
+	})), q.name())
 }
 
 // mayHaveRunOnRemovedVM reports whether a VM that was removed from the list may have executed
@@ -148,7 +162,7 @@
 // chooseUpstream returns the VM of the upstream for a stage of a request. It passes over VMs
 // in the cooldown after a failed contact, unless there are no others.
 func (r *Router) chooseUpstream(q *request, stage string) (fleet.VM, bool) {
-	fitting := r.list.LiveAgents(q.service, stage, q.model())
+	fitting := inBounds(r.tree, q, r.list.LiveAgents(q.service, stage, q.model()))
 	if q.offset > 0 && stage != fleet.Prefill {
 		fitting = excludeVMs(fitting, func(v fleet.VM) bool { return !q.accepts(v.Version) })
 	}
@@ -224,9 +238,9 @@
 }
 
 // sendFeed tells the main run, which has a slot, where to fetch its KV cache. Nothing is fetched from an
-// engine that takes no new work since its data centre is evacuated: the prompt is prefilled again.
+// engine that is barred since: the prompt is prefilled again.
 func (r *Router) sendFeed(q *request) {
-	if r.isEvacuated(q.kvCacheVM) {
+	if r.isBarred(q, q.kvCacheVM) {
 		q.pendingKVCache = nil
 		r.openPrefillRun(q)
 		return
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -62,9 +62,11 @@
 	unreachableUntil map[string]time.Time
 	// goneAt holds, by VM name, when this entry first saw that a VM was removed from the
 	// list.
-	goneAt   map[string]time.Time
-	draining bool
-	policy   Policy
+	goneAt map[string]time.Time
+	// pastTrees are replaced settings with other allowed regions, the newest last.
+	pastTrees []pastTree
+	draining  bool
+	policy    Policy
 	// roundRobinCount counts the choices made by the round-robin policy.
 	roundRobinCount int
 	// prefillNanosPerToken is the moving average of the prefill time of one prompt token.
@@ -173,6 +175,7 @@
 // configured adopts the settings and the list of VMs unless they are older than the current.
 func (r *Router) configured(e Configured) {
 	if e.Tree.Revision() >= r.tree.Revision() {
+		r.recordPastTree(e.Tree)
 		r.tree = e.Tree
 	}
 	if e.List.Revision() >= r.list.Revision() {
@@ -181,7 +184,7 @@
 		r.recordGoneVMs()
 	}
 	r.reserver.Configure(r.tree, r.list)
-	r.leaveEvacuated()
+	r.leaveBarred()
 }
 
 // callerDisconnected cancels a request whose caller is gone.
--- a/coord/tree/items.go
+++ b/coord/tree/items.go
@@ -54,6 +54,8 @@
 	// SealedRevision is set by the operator to declare that no VM acts any more on a
 	// membership list (the VMs of the fleet) from before this revision.
 	SealedRevision uint64 `yaml:"sealed-revision,omitempty"`
+	// Regions holds the region of each data centre, for the lists of allowed regions.
+	Regions map[string]string `yaml:"regions,omitempty"`
 }
 
 // Service is a group of interchangeable upstreams.
@@ -80,6 +82,9 @@
 	Parent string `yaml:"parent,omitempty"`
 	// Keys are the SHA-256 hashes of the workspace's API keys, in lower-case hex.
 	Keys []string `yaml:"keys,omitempty"`
+	// AllowedRegions are the regions in which the workspace's requests may run; empty for any. The
+	// lists of its ancestors bind too.
+	AllowedRegions []string `yaml:"allowed-regions,omitempty"`
 }
 
 // Route maps the requests for a model or a path prefix to a service.
@@ -95,6 +100,9 @@
 	Path string `yaml:"path,omitempty"`
 	// Open reports whether requests need no API key.
 	Open bool `yaml:"open,omitempty"`
+	// AllowedRegions are the regions in which the route's requests may run; empty for any. The lists
+	// of its ancestors, and of the request's workspace, bind too.
+	AllowedRegions []string `yaml:"allowed-regions,omitempty"`
 }
 
 // Doc is the YAML form of a complete settings tree in one file.
--- a/coord/tree/resolve.go
+++ b/coord/tree/resolve.go
@@ -202,6 +202,7 @@
 	t.workspaceByHash = map[string]string{}
 	t.workspaceByKeyID = map[string]string{}
 	t.routeByModel = map[string]string{}
+	t.allowedRegions = map[string][][]string{}
 	t.resolved = make(map[string]Resolved, len(t.workspaces)+len(t.routes))
 	for _, n := range slices.Sorted(maps.Keys(t.services)) {
 		if err := t.checkService(n); err != nil {
@@ -298,6 +299,7 @@
 		return eris.Wrap(err, key)
 	}
 	t.resolved[key] = r
+	t.bindRegions(key, levels)
 	return nil
 }
 
--- a/coord/tree/tree.go
+++ b/coord/tree/tree.go
@@ -51,6 +51,9 @@
 	plainRoutes []string
 	// resolved holds the effective values of each item but the root, by key.
 	resolved map[string]Resolved
+	// allowedRegions holds the lists of regions that bind an item, by key: its own and those of its
+	// ancestors. Items without any have no entry.
+	allowedRegions map[string][][]string
 }
 
 // Change is a new YAML value of a key, or the deletion of the key.
--- a/coord/worker/event.go
+++ b/coord/worker/event.go
@@ -107,12 +107,13 @@
 // Ticked is a timer tick, on which deadlines are checked.
 type Ticked struct{}
 
-// Configured is a new settings tree, with whether this VM is listed as leaving, and whether its data
-// centre is evacuated.
+// Configured is a new settings tree, with whether this VM is listed as leaving, its data centre and whether
+// that is evacuated.
 type Configured struct {
-	Tree      *tree.Tree
-	Leaving   bool
-	Evacuated bool
+	Tree       *tree.Tree
+	Leaving    bool
+	DataCentre string
+	Evacuated  bool
 }
 
 // DrainStarted makes the agent refuse new runs.
--- a/coord/worker/open.go
+++ b/coord/worker/open.go
@@ -94,9 +94,23 @@
 	if o.KeyId != "" && w.keyRevoked(o) {
 		return fault.NotRun(fault.BadKey, "the key was withdrawn")
 	}
+	if !exists && w.isOutOfRegion(o) {
+		return errOutOfRegion()
+	}
 	return nil
 }
 
+// isOutOfRegion reports whether a run may not start in this VM's region. Settings older than the entry's
+// are not trusted.
+func (w *Worker) isOutOfRegion(o *wire.Open) bool {
+	return w.settings.Revision() >= o.Revision && !w.settings.Bounds(o.Route, o.Workspace).Allows(w.settings.Region(w.dataCentre))
+}
+
+// errOutOfRegion is the refusal of a run that isOutOfRegion.
+func errOutOfRegion() *fault.Error {
+	return fault.NotRun(fault.OutOfRegion, "the request may not run in this region")
+}
+
 // checkRecord returns an error if the record of the request forbids another run: a
 // request that isn't idempotent has run or may have, or the attempt was cancelled or
 // refused. Without a record, it returns an error if the record may have been lost in a
--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -131,6 +131,8 @@
 	leaving bool
 	// evacuated is true while nothing may be sent to the upstream but what runs there already.
 	evacuated bool
+	// dataCentre is that of this VM.
+	dataCentre string
 	// draining is true once this process was told to drain.
 	draining bool
 	runs     map[RunID]*run
@@ -294,20 +296,22 @@
 func (w *Worker) refusesNewRuns() bool { return w.leaving || w.draining || w.evacuated }
 
 // handleConfigured adopts a settings tree unless it is older than the present one, and
-// refuses queued runs whose key it revokes. In an evacuated data centre it refuses all runs that haven't
-// started, so that their entries take them elsewhere.
+// refuses queued runs whose key it revokes. In an evacuated data centre, or in a region that is no longer
+// allowed for them, it refuses runs that haven't started, so that their entries take them elsewhere.
 func (w *Worker) handleConfigured(e Configured) {
 	if e.Tree.Revision() >= w.settings.Revision() {
 		w.settings = e.Tree
 	}
-	w.leaving, w.evacuated = e.Leaving, e.Evacuated
+	w.leaving, w.evacuated, w.dataCentre = e.Leaving, e.Evacuated, e.DataCentre
 	for _, id := range w.sortedRunIDs() {
 		r := w.runs[id]
-		if w.evacuated && (r.phase == queued || r.phase == granted) {
+		isWaiting := r.phase == queued || r.phase == granted
+		switch {
+		case isWaiting && w.evacuated:
 			w.refuseRun(r, fault.NotRun(fault.Leaving, "the data centre is evacuated"))
-			continue
-		}
-		if r.phase == queued && r.open.KeyId != "" && w.keyRevoked(r.open) {
+		case isWaiting && w.isOutOfRegion(r.open):
+			w.refuseRun(r, errOutOfRegion())
+		case r.phase == queued && r.open.KeyId != "" && w.keyRevoked(r.open):
 			w.refuseRun(r, fault.NotRun(fault.BadKey, "the key was withdrawn"))
 		}
 	}
--- a/coord/worker/worker_test.go
+++ b/coord/worker/worker_test.go
@@ -183,3 +183,43 @@
 		t.Errorf("effects after the end of the evacuation: %v", e)
 	}
 }
+
+// TestAgentOutsideTheRegionsRefuses changes the allowed regions of a route while runs of it wait at an agent: they are refused,
+// also one that an entry with older settings opens. One that an entry with newer settings opens is granted.
+func TestAgentOutsideTheRegionsRefuses(t *testing.T) {
+	settings := func(revision uint64, regions string) *tree.Tree {
+		s, err := tree.FromDoc(revision, []byte(`
+root: {regions: {a: north}}
+services: {gen: {kind: generate}}
+routes: {m: {service: gen, model: m, allowed-regions: `+regions+`}}
+`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	open := func(name string, revision uint64) *wire.Open {
+		o := newOpen(name)
+		o.Route, o.Revision = "m", revision
+		return o
+	}
+	w := worker.New(start, 1, worker.WithSlots(1))
+	w.Step(start, worker.Configured{Tree: settings(2, "[north]"), DataCentre: "a"})
+	if !hasGranted(w.Step(start, worker.Opened{Stream: 1, Open: open("granted", 2)})) {
+		t.Fatal("a run in an allowed region got no slot")
+	}
+	w.Step(start, worker.Opened{Stream: 2, Open: open("queued", 2)})
+	f := failures(w.Step(start, worker.Configured{Tree: settings(3, "[south]"), DataCentre: "a"}))
+	f = append(f, failures(w.Step(start, worker.Opened{Stream: 3, Open: open("late", 2)}))...)
+	for _, x := range f {
+		if d := cmp.Diff([]any{string(fault.OutOfRegion), wire.Ran_RAN_NO}, []any{x.Code, x.Ran}); d != "" {
+			t.Errorf("refusal (-want +got):\n%s", d)
+		}
+	}
+	if len(f) != 3 {
+		t.Errorf("%d refusals, want 3: the run with the slot, the queued one and the late one", len(f))
+	}
+	if !hasGranted(w.Step(start, worker.Opened{Stream: 4, Open: open("newer", 4)})) {
+		t.Error("a run got no slot, though its entry has newer settings than the agent")
+	}
+}
