--- a/coord/lint/check.go
+++ b/coord/lint/check.go
@@ -74,7 +74,7 @@
 func (k *checker) checkEngine(item string, s rules.Service) {
 	e := s.Engine
 	if e.Slots <= 0 || e.KVTokens <= 0 {
-		k.add(Error, item, "an engine without slots or kv-tokens runs nothing")
+		k.add(Error, item, "an engine without slots or memory-tokens runs nothing")
 	}
 	if e.HoldTime <= 0 {
 		k.add(Warning, item, "without a hold-time no KV cache lasts until it is fetched")
--- a/coord/lint/lint_test.go
+++ b/coord/lint/lint_test.go
@@ -12,7 +12,7 @@
 const sound = `
 version: 7
 services:
-- {name: llm, max-connections: 20, engine: {slots: 12, kv-tokens: 80000, hold-time: 500ms}}
+- {name: llm, max-connections: 20, engine: {slots: 12, memory-tokens: 80000, hold-time: 500ms}}
 - {name: app}
 routes:
 - {name: chat, host: h, prefix: /chat/, kind: streaming, timeout: 14s, target-latency: 900ms, target-gap: 300ms, max-attempts: 1, destinations: [{service: llm, weight: 1}]}
@@ -56,7 +56,7 @@
 		{"resumable", []string{"max-attempts: 2", "max-attempts: 2, resumable: true"}, []Finding{{Warning, "routes/app", "only streams are resumable"}}},
 		{"hold time", []string{"hold-time: 500ms", "hold-time: 20s"}, []Finding{{Warning, "routes/chat", "engines of service llm hold KV caches for 20s, longer than its requests last (14s)"}}},
 		{"no hold time", []string{", hold-time: 500ms", ""}, []Finding{{Warning, "services/llm", "without a hold-time no KV cache lasts until it is fetched"}}},
-		{"engine", []string{"slots: 12", "slots: 0"}, []Finding{{Error, "services/llm", "an engine without slots or kv-tokens runs nothing"}}},
+		{"engine", []string{"slots: 12", "slots: 0"}, []Finding{{Error, "services/llm", "an engine without slots or memory-tokens runs nothing"}}},
 		{"connections", []string{"max-connections: 20", "max-connections: 5"}, []Finding{{Warning, "services/llm", "max-connections 5 is below the 12 slots, which can't all be used"}}},
 		{"no keys", []string{"keys: [secret-1]", "keys: []"}, []Finding{{Warning, "workspaces/w", "it has no keys, so nobody can use it"}}},
 		{"shared key", []string{"limits:", "- {name: v, keys: [k, secret-1]}\nlimits:"}, []Finding{{Error, "workspaces/v", "its key 2 is held by workspace w too"}}},
--- a/coord/rules/rules.go
+++ b/coord/rules/rules.go
@@ -71,7 +71,7 @@
 	// Slots is the number of requests that an engine processes at once, in one batch.
 	Slots int `yaml:"slots"`
 	// KVTokens is the size of one engine's KV cache, in tokens.
-	KVTokens int64 `json:"Memory" yaml:"kv-tokens"`
+	KVTokens int64 `json:"Memory" yaml:"memory-tokens"`
 	// HoldTime is how long an engine that serves prefill keeps the KV cache of a prompt if no
 	// engine that serves decode fetches it.
 	HoldTime time.Duration `yaml:"hold-time"`
