--- a/entry/proxy/evacuate_test.go
+++ b/entry/proxy/evacuate_test.go
@@ -10,6 +10,7 @@
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
+	"github.com/google/go-cmp/cmp"
 )
 
 const (
@@ -187,3 +188,26 @@
 		t.Errorf("passes on evacuations %v that it doesn't know, error %v", a.Evacuations, err)
 	}
 }
+
+// TestReturnedUpstreamsAreCold checks that the upstreams of a data centre that is taken back are held to
+// be cold where their service limits cold ones, and those of other data centres aren't.
+func TestReturnedUpstreamsAreCold(t *testing.T) {
+	now := time.Now()
+	e := newSimEntry(t)
+	r, err := rules.New(rules.Config{Version: 7, Services: []rules.Service{{Name: "s", ColdTime: 3 * time.Second, ColdRate: 10}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := []roster.Upstream{
+		{Instance: "returned", Service: "s", Address: "1", DataCentre: "east"},
+		{Instance: "other", Service: "s", Address: "2", DataCentre: "west"},
+	}
+	for i, evacuated := range [][]string{{"east"}, nil} {
+		at := now.Add(time.Duration(i) * time.Second)
+		mustAdopt(t, e, at, calls.Listing{Rules: r, Revision: uint64(1 + i), Upstreams: list, Evacuated: evacuated})
+	}
+	got := []bool{e.pacer.IsCold(now.Add(time.Second), "returned"), e.pacer.IsCold(now.Add(time.Second), "other")}
+	if d := cmp.Diff([]bool{true, false}, got); d != "" {
+		t.Errorf("cold, of a data centre that was taken back and of another (-want +got):\n%s", d)
+	}
+}
