slots: sends that hang don't hold up others

With one send in flight at an upstream that hangs, a refusal elsewhere would have limited the entry to that one send until it timed out. One more request goes now where none was sent for as long as a request takes. Seen to fail first: TestHangingSendHoldsNobodyUp doesn't find a time at which the next goes on the code before, and the queue stays closed.

--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -21,7 +21,7 @@
 	// calmTime is the time without a refusal and without a queue after which the limit ends.
 	calmTime = time.Second
 	// minPause and maxPause bound the time without sends after a refusal with nothing else in flight, whose
-	// end would tell that a slot is free.
+	// end would tell that a slot is free, and the time for which sends that hang hold up others.
 	// In between it is pauseShare of the service time: an upstream has several slots.
 	pauseShare = 0.125
 	minPause   = 10 * time.Millisecond
@@ -72,6 +72,8 @@
 	limit       float64
 	lastRefused time.Time
 	pausedUntil time.Time
+	// lastSent is when a request was last admitted.
+	lastSent time.Time
 	// serviceTime is the average time from a send to the end of its answer; 0 if none was seen.
 	serviceTime time.Duration
 }
@@ -96,6 +98,7 @@
 	g.endWhenCalm(now)
 	if g.queue.Len() == 0 && g.mayHave(now) {
 		g.inFlight++
+		g.lastSent = now
 		g.charge(now, r)
 		return Admitted
 	}
@@ -139,11 +142,22 @@
 	return max(wait, g.pausedUntil.Sub(now))
 }
 
-// mayHave reports whether another request may be in flight.
+// mayHave reports whether another request may be in flight. Where none was sent for as long as a request usually
+// takes, one may: those in flight may hang at an upstream that doesn't answer.
 func (g *Gate[T]) mayHave(now time.Time) bool {
-	return g.limit == 0 || float64(g.inFlight+1) <= max(1, g.limit) && !now.Before(g.pausedUntil)
+	if g.limit == 0 {
+		return true
+	}
+	hasRoom := float64(g.inFlight+1) <= max(1, g.limit)
+	return !now.Before(g.pausedUntil) && (hasRoom || !now.Before(g.stalledAt()))
 }
 
+// stalledAt returns when the sends in flight no longer hold up others.
+func (g *Gate[T]) stalledAt() time.Time { return g.lastSent.Add(bounded(g.serviceTime)) }
+
+// bounded returns a time between minPause and maxPause.
+func bounded(d time.Duration) time.Duration { return min(maxPause, max(minPause, d)) }
+
 // Next returns a queued request that may be sent now; ok is false if there is none.
 func (g *Gate[T]) Next(now time.Time) (v T, ok bool) {
 	if !g.mayHave(now) {
@@ -155,6 +169,7 @@
 	}
 	g.forget(w)
 	g.inFlight++
+	g.lastSent = now
 	return v, true
 }
 
@@ -165,10 +180,13 @@
 	}
 }
 
-// NextAt returns when Next may return a request although nothing in flight ends; ok is false if a send has to end
-// first.
-func (g *Gate[T]) NextAt(now time.Time) (at time.Time, ok bool) {
-	return g.pausedUntil, g.queue.Len() > 0 && now.Before(g.pausedUntil)
+// NextAt returns when Next returns a request although nothing in flight ends; ok is false if none waits.
+func (g *Gate[T]) NextAt() (at time.Time, ok bool) {
+	at = g.stalledAt()
+	if at.Before(g.pausedUntil) {
+		at = g.pausedUntil
+	}
+	return at, g.queue.Len() > 0
 }
 
 // Drop removes a request of a workspace from the queue and reports whether it was there.
@@ -212,7 +230,7 @@
 	}
 	g.limit = (g.limit + 2*held) / 3
 	if g.inFlight == 0 {
-		g.pausedUntil = now.Add(min(maxPause, max(minPause, time.Duration(pauseShare*float64(g.serviceTime)))))
+		g.pausedUntil = now.Add(bounded(time.Duration(pauseShare * float64(g.serviceTime))))
 	}
 }
 
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -242,3 +242,25 @@
 		t.Error("a request must leave the queue once")
 	}
 }
+
+// TestHangingSendHoldsNobodyUp lets one send hang while others are refused. The queue moves on.
+func TestHangingSendHoldsNobodyUp(t *testing.T) {
+	var g Gate[int]
+	request := func(n int) Request[int] { return Request[int]{Value: n, ExpiresAt: epoch.Add(time.Second)} }
+	g.Enter(epoch, request(0))
+	g.Enter(epoch, request(1))
+	g.Refused(epoch, request(1))
+	if d := g.Enter(epoch, request(1)); d != Queued {
+		t.Fatalf("decision %d on a refused request", d)
+	}
+	if _, ok := g.Next(epoch); ok {
+		t.Error("a request goes although the limit is used up")
+	}
+	at, ok := g.NextAt()
+	if !ok || at.Sub(epoch) > maxPause {
+		t.Fatalf("the next goes in %s, %t", at.Sub(epoch), ok)
+	}
+	if v, ok := g.Next(at); !ok || v != 1 {
+		t.Errorf("at that time goes %d, %t", v, ok)
+	}
+}
--- a/entry/proxy/share.go
+++ b/entry/proxy/share.go
@@ -38,7 +38,14 @@
 
 	mu sync.Mutex
 	// gates holds the requests to each service of plain upstreams.
-	gates map[string]*slots.Gate[*slotWaiter]
+	gates map[string]*serviceGate
+}
+
+// serviceGate is the gate of a service.
+type serviceGate struct {
+	slots.Gate[*slotWaiter]
+	// timer lets waiting requests go although no send ends; nil until it is needed.
+	timer *time.Timer
 }
 
 // weights are those of the workspaces of a configuration.
@@ -99,13 +106,13 @@
 }
 
 // gate returns the gate of a service. p.shares.mu must be held.
-func (p *Proxy) gate(service string) *slots.Gate[*slotWaiter] {
+func (p *Proxy) gate(service string) *serviceGate {
 	g := p.shares.gates[service]
 	if g == nil {
 		if p.shares.gates == nil {
-			p.shares.gates = map[string]*slots.Gate[*slotWaiter]{}
+			p.shares.gates = map[string]*serviceGate{}
 		}
-		g = &slots.Gate[*slotWaiter]{}
+		g = &serviceGate{}
 		p.shares.gates[service] = g
 	}
 	return g
@@ -146,7 +153,7 @@
 	q = p.slotRequest(now, x, g.ServiceTime(), &slotWaiter{make(chan struct{})})
 	x.record.queued = g.Waiting()
 	d = g.Enter(now, q)
-	// After a refusal the gate may be closed until a time at which nothing else would open it.
+	// This also sets the timer.
 	p.admitWaiting(now, g)
 	return q, d
 }
@@ -208,7 +215,7 @@
 
 // slotRetryAfter returns when a refused caller's workspace is likely to have a slot, lengthened at random so
 // that callers don't come back together. p.shares.mu must be held.
-func (p *Proxy) slotRetryAfter(now time.Time, g *slots.Gate[*slotWaiter], q slots.Request[*slotWaiter]) time.Duration {
+func (p *Proxy) slotRetryAfter(now time.Time, g *serviceGate, q slots.Request[*slotWaiter]) time.Duration {
 	if !g.IsLimited() {
 		return plainRetryAfter
 	}
@@ -254,7 +261,7 @@
 }
 
 // admitWaiting lets the requests go that may be sent. p.shares.mu must be held.
-func (p *Proxy) admitWaiting(now time.Time, g *slots.Gate[*slotWaiter]) {
+func (p *Proxy) admitWaiting(now time.Time, g *serviceGate) {
 	for {
 		w, ok := g.Next(now)
 		if !ok {
@@ -262,13 +269,19 @@
 		}
 		close(w.admitted)
 	}
-	if at, ok := g.NextAt(now); ok {
-		time.AfterFunc(at.Sub(now), func() {
-			p.shares.mu.Lock()
-			defer p.shares.mu.Unlock()
-			p.admitWaiting(time.Now(), g)
-		})
+	at, ok := g.NextAt()
+	if !ok {
+		return
+	}
+	if g.timer != nil {
+		g.timer.Reset(at.Sub(now))
+		return
 	}
+	g.timer = time.AfterFunc(at.Sub(now), func() {
+		p.shares.mu.Lock()
+		defer p.shares.mu.Unlock()
+		p.admitWaiting(time.Now(), g)
+	})
 }
 
 // refusalError tells an upstream without room from one that refuses for another reason.
