--- a/coord/admit/hold.go
+++ b/coord/admit/hold.go
@@ -196,10 +196,10 @@
 		"reason": o.Reason, "waited-ms": waited.Milliseconds(), "running": s.Running, "waiting": s.Waiting,
 		"room": s.MaxPromptTokens, "report-age-ms": age.Milliseconds(),
 	}
-	if o.Standing.Shared {
-		m.settings.Metrics.sharedPlaces.WithLabelValues(boolLabel(o.Granted), boolLabel(o.Standing.OverShare)).Inc()
-		f["workspace"], f["weight"], f["ahead"] = q.Workspace, q.Weight, o.Standing.Ahead
-		f["had"], f["fair"] = int64(o.Standing.Had), int64(o.Standing.Fair)
+	if o.ShareState.Shared {
+		m.settings.Metrics.sharedPlaces.WithLabelValues(boolLabel(o.Granted), boolLabel(o.ShareState.OverShare)).Inc()
+		f["workspace"], f["weight"], f["ahead"] = q.Workspace, q.Weight, o.ShareState.Ahead
+		f["used-tokens"], f["fair-tokens"] = int64(o.ShareState.UsedTokens), int64(o.ShareState.FairTokens)
 	}
 	m.log.WithFields(f).Info("place request granted or refused")
 }
--- a/coord/pacer/cold.go
+++ b/coord/pacer/cold.go
@@ -12,12 +12,12 @@
 	rampSteps = 4
 	// minRamp is above the delay of messages, so that late ones don't make an upstream cold again.
 	minRamp = time.Second
-	// maxColdTime bounds the time that an upstream is held to be cold on any single word.
+	// maxColdTime bounds the time that an upstream is held to be cold on any single report.
 	maxColdTime = time.Hour
-	// The resolutions are the differences in time from which on another end is news, in messages between processes and
-	// in words of upstreams. They are above the delays of either, which would otherwise put the end off again and again.
-	hearsayResolution = time.Second
-	wordResolution    = 200 * time.Millisecond
+	// The tolerances are the least differences by which a reported end must differ from the known one to count as new, in
+	// gossip and in reports of upstreams. They exceed the delays of either; with less, each late copy would postpone the end.
+	gossipTolerance = time.Second
+	reportTolerance = 200 * time.Millisecond
 	// registrationDelay is how far a registration may be behind its upstream.
 	registrationDelay = 2 * time.Second
 )
@@ -25,31 +25,31 @@
 // Source is where a process has it from that an upstream is cold.
 type Source string
 
-// Sources. Started and Returned are assumptions, which the upstream's own word replaces.
+// Sources. SourceStart and SourceReturn are assumptions, which the upstream's own report replaces.
 const (
-	// Registered means that its registration names the time left.
-	Registered Source = "registration"
-	// Answered means that an answer of it names the time left.
-	Answered Source = "answer"
-	// Started means that this process saw it start.
-	Started Source = "start"
-	// Returned means that its data centre was taken back after an evacuation.
-	Returned Source = "return"
-	// Told means that another process said so.
-	Told Source = "gossip"
+	// SourceRegistration means that its registration names the time left.
+	SourceRegistration Source = "registration"
+	// SourceAnswer means that an answer of it names the time left.
+	SourceAnswer Source = "answer"
+	// SourceStart means that this process saw it start.
+	SourceStart Source = "start"
+	// SourceReturn means that its data centre was taken back after an evacuation.
+	SourceReturn Source = "return"
+	// SourceGossip means that another process said so.
+	SourceGossip Source = "gossip"
 )
 
-// ColdWord says that an upstream is cold, or warm.
-type ColdWord struct {
+// ColdReport states how long an upstream stays cold, or that it is warm.
+type ColdReport struct {
 	Source Source
 	// PerSecond is the number of requests that it takes from all processes together while it is cold; 0 for no limit,
-	// and the word has no effect.
+	// and the report has no effect.
 	PerSecond float64
 	// Remaining is the time that it stays cold; 0 if it is warm.
 	Remaining time.Duration
 	// Ramp is the time after that in which its limit grows until it ends.
 	Ramp time.Duration
-	// AsOf is when the request was sent, or the read of the store began, that brought the word.
+	// AsOf is when the request was sent, or the read of the store began, that brought the report.
 	AsOf time.Time
 }
 
@@ -77,7 +77,7 @@
 	// until is when it is warm.
 	until time.Time
 	ramp  time.Duration
-	// source and toldAt belong to the word that until stands on.
+	// source and toldAt belong to the report that until rests on.
 	source Source
 	toldAt time.Time
 	// isLogged is true once ColdChanges has returned that it is cold.
@@ -104,37 +104,37 @@
 
 func (c *cold) isOver(now time.Time) bool { return !now.Before(c.until.Add(c.ramp)) }
 
-// isExtendedBy reports whether a word makes the cold time longer.
+// isExtendedBy says whether a report makes the cold time longer.
 func (c *cold) isExtendedBy(until time.Time, s Source) bool {
-	if s == Told {
-		return until.After(c.until.Add(hearsayResolution))
+	if s == SourceGossip {
+		return until.After(c.until.Add(gossipTolerance))
 	}
 	return until.After(c.until)
 }
 
-// isShortenedBy reports whether a word that names an earlier end counts. Only the upstream's own does, and only if
+// isShortenedBy says whether a report that names an earlier end counts. Only the upstream's own does, and only if
 // it is later than the one that named the present end: an answer to a request that was sent after that, or a
 // registration, which may be behind, some time after it. What an answer has named, only another answer shortens.
-func (c *cold) isShortenedBy(w ColdWord) bool {
+func (c *cold) isShortenedBy(w ColdReport) bool {
 	switch w.Source {
-	case Answered:
+	case SourceAnswer:
 		return w.AsOf.After(c.toldAt)
-	case Registered:
-		return c.source != Answered && w.AsOf.After(c.toldAt.Add(registrationDelay))
+	case SourceRegistration:
+		return c.source != SourceAnswer && w.AsOf.After(c.toldAt.Add(registrationDelay))
 	}
 	return false
 }
 
 // ObserveCold records what is known of an upstream's cold time. A longer time than known counts; see isShortenedBy for
 // shorter ones. It reports whether the upstream wasn't cold before.
-func (t *Table) ObserveCold(now time.Time, instance string, w ColdWord) (began bool) {
+func (t *Table) ObserveCold(now time.Time, instance string, w ColdReport) (began bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.observeCold(now, instance, w)
 }
 
 // observeCold is ObserveCold. t.mu must be held.
-func (t *Table) observeCold(now time.Time, instance string, w ColdWord) (began bool) {
+func (t *Table) observeCold(now time.Time, instance string, w ColdReport) (began bool) {
 	t.dropWarm(now)
 	c := t.cold[instance]
 	left := min(w.Remaining, maxColdTime)
@@ -154,7 +154,7 @@
 		t.dropLeastCold()
 	}
 	began = !now.Before(c.until) && left > 0
-	if began || until.Sub(c.until).Abs() > wordResolution {
+	if began || until.Sub(c.until).Abs() > reportTolerance {
 		c.source, c.toldAt = w.Source, now
 	}
 	c.until, c.perSecond, c.ramp = until, w.PerSecond, max(minRamp, min(w.Ramp, maxColdTime))
--- a/coord/pacer/cold_test.go
+++ b/coord/pacer/cold_test.go
@@ -13,16 +13,16 @@
 // all gives a process the whole of each cold upstream's limit.
 func all(_ string, perSecond float64) float64 { return perSecond }
 
-// coldWord returns a word on an upstream that takes 2 requests a second while it is cold.
-func coldWord(s Source, remaining, asOf float64) ColdWord {
-	return ColdWord{Source: s, PerSecond: 2, Remaining: at(remaining).Sub(start), Ramp: 4 * time.Second, AsOf: at(asOf)}
+// coldReport returns a word on an upstream that takes 2 requests a second while it is cold.
+func coldReport(s Source, remaining, asOf float64) ColdReport {
+	return ColdReport{Source: s, PerSecond: 2, Remaining: at(remaining).Sub(start), Ramp: 4 * time.Second, AsOf: at(asOf)}
 }
 
 // TestColdUpstreamWarms checks how often a process may send to an upstream that is cold for 3 s and takes another 4 s
 // to get its whole load, in each half second.
 func TestColdUpstreamWarms(t *testing.T) {
 	x := New(whole, WithColdShare(all))
-	if !x.ObserveCold(at(0), "u", coldWord(Registered, 3, 0)) {
+	if !x.ObserveCold(at(0), "u", coldReport(SourceRegistration, 3, 0)) {
 		t.Error("the upstream wasn't cold before")
 	}
 	var got []int
@@ -46,7 +46,7 @@
 func TestBothLimitsBind(t *testing.T) {
 	x := New(whole, WithColdShare(all))
 	x.Observe(at(0), at(0), "u", 4)
-	x.ObserveCold(at(0), "u", coldWord(Started, 5, 0))
+	x.ObserveCold(at(0), "u", coldReport(SourceStart, 5, 0))
 	got := []bool{x.Take(at(0.25), "u"), x.Take(at(0.5), "u"), x.Take(at(0.5), "u")}
 	x.Return(at(0.5), "u")
 	got = append(got, x.Take(at(0.5), "u"))
@@ -67,24 +67,24 @@
 func TestWordsOnColdTime(t *testing.T) {
 	for _, c := range []struct {
 		name          string
-		first, second ColdWord
+		first, second ColdReport
 		// seconds is when the second word comes, and until when the upstream is warm.
 		seconds, until float64
 	}{
-		{"a longer registration", coldWord(Registered, 2, 0), coldWord(Registered, 5, 0), 1, 6},
-		{"a longer answer", coldWord(Registered, 2, 0), coldWord(Answered, 5, 0), 1, 6},
-		{"a longer word of others", coldWord(Started, 2, 0), coldWord(Told, 3, 0), 1, 4},
-		{"a late copy of a word", coldWord(Started, 2, 0), coldWord(Told, 1.5, 0), 1, 2},
-		{"a shorter answer to a later request", coldWord(Registered, 9, 0), coldWord(Answered, 1, 0.5), 1, 2},
-		{"a shorter answer to an earlier request", coldWord(Registered, 9, 0), coldWord(Answered, 1, -0.5), 1, 9},
-		{"warm by an answer", coldWord(Answered, 9, 0), coldWord(Answered, 0, 0.5), 1, 1},
-		{"a shorter registration at once", coldWord(Started, 9, 0), coldWord(Registered, 1, 0.5), 1, 9},
-		{"a shorter registration later", coldWord(Returned, 9, 0), coldWord(Registered, 1, 2.5), 3, 4},
-		{"a registration against an answer", coldWord(Answered, 9, 0), coldWord(Registered, 1, 2.5), 3, 9},
-		{"a shorter word of others", coldWord(Answered, 9, 0), coldWord(Told, 1, 5), 6, 9},
-		{"an assumption", coldWord(Answered, 9, 0), coldWord(Returned, 1, 5), 6, 9},
-		{"no limit", coldWord(Answered, 2, 0), ColdWord{Source: Answered, Remaining: time.Hour}, 1, 2},
-		{"warm twice", coldWord(Answered, 1, 0), coldWord(Registered, 0, 2), 2, 1},
+		{"a longer registration", coldReport(SourceRegistration, 2, 0), coldReport(SourceRegistration, 5, 0), 1, 6},
+		{"a longer answer", coldReport(SourceRegistration, 2, 0), coldReport(SourceAnswer, 5, 0), 1, 6},
+		{"a longer word of others", coldReport(SourceStart, 2, 0), coldReport(SourceGossip, 3, 0), 1, 4},
+		{"a late copy of a word", coldReport(SourceStart, 2, 0), coldReport(SourceGossip, 1.5, 0), 1, 2},
+		{"a shorter answer to a later request", coldReport(SourceRegistration, 9, 0), coldReport(SourceAnswer, 1, 0.5), 1, 2},
+		{"a shorter answer to an earlier request", coldReport(SourceRegistration, 9, 0), coldReport(SourceAnswer, 1, -0.5), 1, 9},
+		{"warm by an answer", coldReport(SourceAnswer, 9, 0), coldReport(SourceAnswer, 0, 0.5), 1, 1},
+		{"a shorter registration at once", coldReport(SourceStart, 9, 0), coldReport(SourceRegistration, 1, 0.5), 1, 9},
+		{"a shorter registration later", coldReport(SourceReturn, 9, 0), coldReport(SourceRegistration, 1, 2.5), 3, 4},
+		{"a registration against an answer", coldReport(SourceAnswer, 9, 0), coldReport(SourceRegistration, 1, 2.5), 3, 9},
+		{"a shorter word of others", coldReport(SourceAnswer, 9, 0), coldReport(SourceGossip, 1, 5), 6, 9},
+		{"an assumption", coldReport(SourceAnswer, 9, 0), coldReport(SourceReturn, 1, 5), 6, 9},
+		{"no limit", coldReport(SourceAnswer, 2, 0), ColdReport{Source: SourceAnswer, Remaining: time.Hour}, 1, 2},
+		{"warm twice", coldReport(SourceAnswer, 1, 0), coldReport(SourceRegistration, 0, 2), 2, 1},
 	} {
 		x := New(whole)
 		x.ObserveCold(at(0), "u", c.first)
@@ -99,7 +99,7 @@
 // dropped.
 func TestColdUpstreamsArePassedOn(t *testing.T) {
 	a, b := New(NoShare), New(NoShare)
-	a.ObserveCold(at(0), "u", coldWord(Started, 3, 0))
+	a.ObserveCold(at(0), "u", coldReport(SourceStart, 3, 0))
 	for i := range 200 {
 		now, late := at(float64(i)/20), at(float64(i)/20+0.3)
 		b.MergeCold(late, a.ReportCold(now))
@@ -119,7 +119,7 @@
 		t.Errorf("%d upstreams are cold by senseless words", len(b.cold))
 	}
 	for i := range 2 * maxLimits {
-		b.ObserveCold(at(20), fmt.Sprint(i), coldWord(Started, 3, 20))
+		b.ObserveCold(at(20), fmt.Sprint(i), coldReport(SourceStart, 3, 20))
 	}
 	if d := cmp.Diff([]int{maxLimits, maxReportedCold}, []int{len(b.cold), len(b.ReportCold(at(20)))}); d != "" {
 		t.Errorf("kept and reported (-want +got):\n%s", d)
@@ -133,7 +133,7 @@
 	for i := range 100 {
 		now := at(float64(i) / 10)
 		if i == 0 || i == 40 {
-			x.ObserveCold(now, "u", coldWord(Answered, 2, 4))
+			x.ObserveCold(now, "u", coldReport(SourceAnswer, 2, 4))
 		}
 		for _, c := range x.ColdChanges(now) {
 			got = append(got, c.IsCold)
--- a/coord/pacer/exchange.go
+++ b/coord/pacer/exchange.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		left := time.Duration(m.RemainingMicros) * time.Microsecond
-		if t.observeCold(now, m.Instance, ColdWord{Source: Told, PerSecond: m.PerSecond, Remaining: left, Ramp: left}) {
+		if t.observeCold(now, m.Instance, ColdReport{Source: SourceGossip, PerSecond: m.PerSecond, Remaining: left, Ramp: left}) {
 			isNews = true
 		}
 	}
--- a/coord/pacer/fleet.go
+++ b/coord/pacer/fleet.go
@@ -13,12 +13,12 @@
 	// burstPart is the part of the tolerated excess that full buckets may use up at once. The rest covers requests that
 	// arrive later than their tokens were taken.
 	burstPart = 0.8
-	// standingDelay is how long a process must have heard most others before it sends to cold upstreams: until then
+	// settleTime is how long a process must have heard most others before it sends to cold upstreams: until then
 	// these may not know it yet, or again.
-	standingDelay = 4 * time.Second
-	// memory is how long another process is remembered that isn't heard any more. It is above the length of a partition.
+	settleTime = 4 * time.Second
+	// peerTTL is how long a process that isn't heard any more counts as a member. It exceeds the length of a partition.
 	// If more than half of the processes are lost for good, the others send nothing to cold upstreams for as long.
-	memory = 10 * time.Minute
+	peerTTL = 10 * time.Minute
 	// maxViewAge is the age from which on a view of the others no longer counts, as in a process that was suspended.
 	maxViewAge = 2 * time.Second
 )
@@ -27,6 +27,9 @@
 // the limit, and Slack requests.
 type Bound struct{ Overage, Slack float64 }
 
+// DefaultBound applies where the settings name none.
+var DefaultBound = Bound{Overage: 1.5, Slack: 5}
+
 // Share is the ColdShare of one of the processes that are known, self among them, dead ones included. It is an equal one of
 // all, or, if the buckets of so many could exceed the bound together, of those that rank first for the upstream. The
 // others may send nothing.
@@ -108,7 +111,7 @@
 	if f.lastHeard == nil {
 		f.lastHeard = map[string]time.Time{}
 	}
-	maps.DeleteFunc(f.lastHeard, func(_ string, at time.Time) bool { return now.Sub(at) >= memory })
+	maps.DeleteFunc(f.lastHeard, func(_ string, at time.Time) bool { return now.Sub(at) >= peerTTL })
 	heard := 1
 	for _, n := range v.Heard {
 		if _, ok := f.lastHeard[n]; ok {
@@ -122,5 +125,5 @@
 func (f *Fleet) MaySend(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.since.IsZero() && now.Sub(f.since) >= standingDelay && now.Sub(f.observedAt) <= maxViewAge
+	return !f.since.IsZero() && now.Sub(f.since) >= settleTime && now.Sub(f.observedAt) <= maxViewAge
 }
--- a/coord/pacer/fleet_test.go
+++ b/coord/pacer/fleet_test.go
@@ -126,7 +126,7 @@
 func (s *senders) send(n string) {
 	now := s.net.Now()
 	t := s.byName[n].table
-	t.ObserveCold(now, "u", ColdWord{Source: Registered, PerSecond: s.perSecond, Remaining: 10 * time.Second, AsOf: now})
+	t.ObserveCold(now, "u", ColdReport{Source: SourceRegistration, PerSecond: s.perSecond, Remaining: 10 * time.Second, AsOf: now})
 	if t.Take(now, "u") {
 		s.sent = append(s.sent, now)
 	}
--- a/coord/picker/finish.go
+++ b/coord/picker/finish.go
@@ -34,8 +34,8 @@
 	Target time.Duration
 }
 
-// Uneven reports whether one of the upstreams has ever named its slowness.
-func (p *Picker) Uneven(l []roster.Upstream) bool {
+// KnowsSlowness reports whether one of the upstreams has ever named its slowness.
+func (p *Picker) KnowsSlowness(l []roster.Upstream) bool {
 	for _, u := range l {
 		if p.speeds.HasNamed(u.Instance) {
 			return true
--- a/coord/picker/picker.go
+++ b/coord/picker/picker.go
@@ -129,7 +129,7 @@
 // it returns the one whose ejection ends first: to try an upstream that may have recovered is
 // better than to fail the call without a try. It returns false if there are no candidates.
 func (p *Picker) Pick(now time.Time, candidates []roster.Upstream, j Job) (best roster.Upstream, ok bool) {
-	if p.Uneven(candidates) {
+	if p.KnowsSlowness(candidates) {
 		if best, ok = p.pickByFinish(now, candidates, j); ok {
 			return best, ok
 		}
--- a/coord/place/class.go
+++ b/coord/place/class.go
@@ -3,24 +3,26 @@
 import "slices"
 
 const (
-	// leastClassShare is the part of the granted work that a less urgent class keeps while it waits. It
-	// starves none and costs the more urgent ones little; over a few grants a tenth of them is left.
+	// leastClassShare is the part of the granted work that a less urgent class gets while it waits, so that
+	// it isn't starved.
 	leastClassShare = 0.125
-	// maxOwedRequests is how many typical requests a class is owed at most, so that none saves up for a
-	// burst.
-	maxOwedRequests = 2
-	// maxClasses bounds the classes that may be owed work.
+	// maxCreditRequests bounds the credit of a class, in typical requests, and so the burst that it can cause.
+	maxCreditRequests = 2
+	// promoteCredit is the credit, in typical requests, from which on a class goes first. At 1 it would get less
+	// than its share over a few grants.
+	promoteCredit = 0.5
+	// maxClasses bounds the classes that may have credit.
 	maxClasses = 32
 )
 
-// classes hold the work, in tokens, that each class of priority is owed. A negative priority is that of
+// classes hold the credit, in tokens of work, of each class of priority. A negative priority is that of
 // streams that go on after a break; they always come first and aren't counted.
 //
 // It answers a more urgent class that alone fills the engine for longer than the others can wait. A
-// class that waits is owed leastClassShare of what is granted meanwhile, and goes first once it is
-// owed half of a typical request, so that it gets its share on average also over a few grants.
+// class that waits is credited with leastClassShare of what is granted meanwhile, and goes first once its
+// credit is promoteCredit of a typical request.
 type classes struct {
-	owed map[int]float64
+	credit map[int]float64
 	// typicalCost is the average cost of the requests.
 	typicalCost float64
 }
@@ -40,17 +42,17 @@
 	}
 	waits := waitingClasses(append(slices.Clone(queue), waiting{Request: r}))
 	for _, p := range waits[1:] {
-		if _, ok := c.owed[p]; !ok && len(c.owed) >= maxClasses {
+		if _, ok := c.credit[p]; !ok && len(c.credit) >= maxClasses {
 			continue
 		}
-		c.owed[p] = min(c.owed[p]+leastClassShare*r.cost(), maxOwedRequests*c.typicalCost)
+		c.credit[p] = min(c.credit[p]+leastClassShare*r.cost(), maxCreditRequests*c.typicalCost)
 	}
 	if r.Priority > waits[0] {
-		c.owed[r.Priority] -= r.cost()
+		c.credit[r.Priority] -= r.cost()
 	}
 }
 
-// promote moves the first request of the class that is owed most to the head of a sorted queue. A late request may
+// promote moves the first request of the class with the most credit to the head of a sorted queue. A late request may
 // go first too: it takes the share of its own class, which would otherwise starve once its requests are late.
 func (c *classes) promote(queue []waiting) {
 	if len(queue) == 0 || queue[0].Priority < 0 {
@@ -59,8 +61,8 @@
 	best, most := 0, 0.0
 	for i := range queue {
 		q := &queue[i]
-		if owed := c.owed[q.Priority]; q.Priority > queue[0].Priority && owed >= c.typicalCost/2 && owed > most {
-			best, most = i, owed
+		if credit := c.credit[q.Priority]; q.Priority > queue[0].Priority && credit >= promoteCredit*c.typicalCost && credit > most {
+			best, most = i, credit
 		}
 	}
 	first := queue[best]
--- a/coord/place/place.go
+++ b/coord/place/place.go
@@ -54,7 +54,9 @@
 	ExpiresAt time.Time
 	// Workspace is charged with the run; empty if that isn't known.
 	Workspace string
-	// Weight is the workspace's relative share when places are short; 0 counts as 1.
+	// Weight is the workspace's relative share when places are short; values below 1 count as 1. Without a
+	// Workspace, 0 marks a request of an earlier release: all those share one account that weighs as much as
+	// all others.
 	Weight int64
 }
 
@@ -85,8 +87,8 @@
 	// RetryAt is set if the request was refused: the time at which a place is likely, or the
 	// current time with ReasonTooLarge, as such a request never gets one.
 	RetryAt time.Time
-	// Standing is that of the request's workspace when the decision was made.
-	Standing Standing
+	// ShareState is that of the request's workspace when the decision was made.
+	ShareState ShareState
 }
 
 // Reasons for refusals, as callers receive them.
@@ -167,7 +169,7 @@
 		avgPromptTokens:    initialAvgTokens,
 		ignoreUntil:        map[string]time.Time{},
 		accounts:           accounts{byWorkspace: map[string]*account{}},
-		classes:            classes{owed: map[int]float64{}},
+		classes:            classes{credit: map[int]float64{}},
 	}
 	for _, o := range opts {
 		o(s)
@@ -274,7 +276,7 @@
 		}
 		s.queue = s.queue[1:]
 		s.runs[r.ID] = &run{promptTokens: r.PromptTokens, usedTokens: r.PromptTokens, maxTokens: r.MaxTokens, lengthQuantiles: newQuantiles(s.rand), grantedAt: now}
-		out = append(out, Outcome{RequestID: r.ID, Granted: true, Standing: r.standing})
+		out = append(out, Outcome{RequestID: r.ID, Granted: true, ShareState: r.share})
 		s.accounts.charge(now, r.Request)
 		if isShared {
 			s.classes.charge(r.Request, s.queue)
--- a/coord/place/share.go
+++ b/coord/place/share.go
@@ -17,16 +17,16 @@
 	negligibleTokens = 1.0
 )
 
-// Standing tells how the workspace of a request stands among those that compete for an engine's
-// places. It is the zero value if none do.
-type Standing struct {
+// ShareState is how a workspace's use of an engine compares with its fair share when its request was
+// decided on. It is the zero value if no workspaces or classes compete.
+type ShareState struct {
 	// Shared is true if several workspaces or classes of priority competed.
 	Shared bool
 	// OverShare is true if the workspace was beyond the fair level.
 	OverShare bool
-	// Had is what the workspace was granted lately, its requests ahead included, in tokens for
-	// each unit of its weight. Fair is the level that all would have at equal shares.
-	Had, Fair float64
+	// UsedTokens is what the workspace was granted lately, its requests ahead included, in tokens for
+	// each unit of its weight. FairTokens is the level that all would have at equal shares.
+	UsedTokens, FairTokens float64
 	// Ahead is the number of requests that were to be served before.
 	Ahead int
 }
@@ -34,7 +34,7 @@
 // waiting is a queued request.
 type waiting struct {
 	Request
-	standing Standing
+	share ShareState
 	// excess orders the requests of workspaces beyond the fair level, the least served first. It is 0
 	// for the others.
 	excess float64
@@ -52,7 +52,7 @@
 //
 // It answers one workspace that sends many times its usual while places are short. By time alone
 // it would take the places of all others. Workspaces that have had no more than the fair level go
-// before it; what they leave is lent to it at once.
+// before it; what they leave unused it gets at once.
 type accounts struct {
 	byWorkspace map[string]*account
 	// total is the sum of the balances.
@@ -135,7 +135,7 @@
 	return total, total
 }
 
-// rank sets the standing of the requests of a queue, which is in the order of service without
+// rank sets the ShareState of the requests of a queue, which is in the order of service without
 // sharing. A workspace's later requests count those before them as granted. It reports whether any are
 // beyond their share.
 func (a *accounts) rank(now time.Time, q []waiting) (isOver bool) {
@@ -153,11 +153,11 @@
 		if r.isAnonymous() {
 			weight = anonymous
 		}
-		r.standing = Standing{Shared: true, Had: tokens / weight, Fair: level, Ahead: r.standing.Ahead}
+		r.share = ShareState{Shared: true, UsedTokens: tokens / weight, FairTokens: level, Ahead: r.share.Ahead}
 		r.excess = 0
 		// A request that only crosses the level is within it, since work comes in whole requests.
 		if tokens-level*weight >= r.cost() {
-			r.excess, r.standing.OverShare = tokens/weight, true
+			r.excess, r.share.OverShare = tokens/weight, true
 			isOver = true
 		}
 		had[r.Workspace] = tokens + r.cost()
--- a/coord/place/share_test.go
+++ b/coord/place/share_test.go
@@ -118,7 +118,7 @@
 func (c contest) lose(now time.Time, s *Scheduler) {
 	if c.restartAt > 0 && now.Sub(epoch) == c.restartAt {
 		s.accounts = accounts{byWorkspace: map[string]*account{}}
-		s.classes = classes{owed: map[int]float64{}}
+		s.classes = classes{credit: map[int]float64{}}
 	}
 }
 
--- a/coord/place/wait.go
+++ b/coord/place/wait.go
@@ -69,14 +69,14 @@
 	if competes(s.queue) {
 		ahead = aheadOf(s.queue, index)
 		wait = s.sharedWait(p, r.Request, ahead)
-		r.standing.Ahead = ahead
+		r.share.Ahead = ahead
 	} else {
 		wait = s.expectedWait(p, r.Request, ahead)
 	}
 	if !now.Add(wait).After(r.ExpiresAt) {
 		return out, false
 	}
-	out = Outcome{RequestID: r.ID, Reason: ReasonNoPlace, RetryAt: s.retryAt(now, r, wait), Standing: r.standing}
+	out = Outcome{RequestID: r.ID, Reason: ReasonNoPlace, RetryAt: s.retryAt(now, r, wait), ShareState: r.share}
 	if r.excess > 0 {
 		out.Reason = ReasonOverShare
 	}
@@ -86,7 +86,7 @@
 
 // retryAt returns when a refused request may come again, after a wait until its turn.
 func (s *Scheduler) retryAt(now time.Time, r *waiting, wait time.Duration) time.Time {
-	if r.standing.Shared {
+	if r.share.Shared {
 		wait += time.Duration(retryJitter * s.jitter.Float64() * float64(wait))
 	}
 	return now.Add(wait)
@@ -127,7 +127,7 @@
 		} else {
 			wait = s.expectedWait(p, r.Request, 0)
 		}
-		out = append(out, Outcome{RequestID: r.ID, Reason: ReasonWaitExpired, RetryAt: s.retryAt(now, r, wait), Standing: r.standing})
+		out = append(out, Outcome{RequestID: r.ID, Reason: ReasonWaitExpired, RetryAt: s.retryAt(now, r, wait), ShareState: r.share})
 	}
 	s.queue = slices.DeleteFunc(s.queue, isExpired)
 	return out
--- a/coord/region/region.go
+++ b/coord/region/region.go
@@ -1,8 +1,8 @@
 // Package region decides in which regions a request may run.
 //
 // It answers load that is bound to places: the requests of a route, or of a workspace, must not leave some
-// regions, while upstreams elsewhere are idle and attract them, most of all when those at home fail or are
-// full. Both lists bind where both are given, whatever the load is.
+// regions, while upstreams elsewhere are idle and attract them, most of all when those in the allowed regions
+// fail or are full. Both lists bind where both are given, whatever the load is.
 //
 // Nothing here does I/O. A Bounds is immutable.
 package region
--- a/coord/router/bars.go
+++ b/coord/router/allowed.go
@@ -62,9 +62,9 @@
 	return until, ok
 }
 
-// isBarred reports whether nothing more of a request may be sent to an agent's VM: its data centre is
+// isExcluded reports whether nothing more of a request may be sent to an agent's VM: its data centre is
 // evacuated, or in a region that isn't allowed.
-func (r *Router) isBarred(q *request, vm string) bool {
+func (r *Router) isExcluded(q *request, vm string) bool {
 	v, ok := r.list.VM(vm)
 	return ok && (v.Evacuated || !r.bounds(q).Allows(r.tree.Region(v.DataCentre)))
 }
@@ -79,20 +79,20 @@
 	return fault.NotRun(fault.OutOfRegion, "service %s has no upstream in the allowed regions: %s", q.service, r.bounds(q))
 }
 
-// leaveBarred places the calls to models again whose engines haven't begun to answer, and whose engine for
-// the answer or for the prompt is barred now; see isBarred.
+// replaceExcluded places the calls to models again whose engines haven't begun to answer, and whose engine for
+// the answer or for the prompt is barred now; see isExcluded.
 //
 // It answers an evacuation, or a change of the allowed regions, under load, when many requests wait for slots
 // there or for prompts that are being read there. Without it they would start there once their turn comes,
 // seconds later. Plain calls that wait are refused by their agents, which know whether they have started.
-func (r *Router) leaveBarred() {
+func (r *Router) replaceExcluded() {
 	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
 		q := r.requests[id]
 		if !q.usesModel || q.phase != awaitingSlot && q.phase != prefilling {
 			continue
 		}
-		isMainThere := q.main.live && r.isBarred(q, q.main.vm)
-		isPrefillThere := q.prefill.live && r.isBarred(q, q.prefill.vm)
+		isMainThere := q.main.live && r.isExcluded(q, q.main.vm)
+		isPrefillThere := q.prefill.live && r.isExcluded(q, q.prefill.vm)
 		switch {
 		case isMainThere || isPrefillThere && !q.main.live:
 			r.stopRun(&q.main)
--- a/coord/router/place.go
+++ b/coord/router/place.go
@@ -240,7 +240,7 @@
 // sendFeed tells the main run, which has a slot, where to fetch its KV cache. Nothing is fetched from an
 // engine that is barred since: the prompt is prefilled again.
 func (r *Router) sendFeed(q *request) {
-	if r.isBarred(q, q.kvCacheVM) {
+	if r.isExcluded(q, q.kvCacheVM) {
 		q.pendingKVCache = nil
 		r.openPrefillRun(q)
 		return
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -184,7 +184,7 @@
 		r.recordGoneVMs()
 	}
 	r.reserver.Configure(r.tree, r.list)
-	r.leaveBarred()
+	r.replaceExcluded()
 }
 
 // callerDisconnected cancels a request whose caller is gone.
--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -2,12 +2,12 @@
 //
 // It answers upstreams that refuse requests since all their slots are taken, while one workspace sends many
 // times its usual. Trying upstream after upstream costs them work, and serves whoever asks most often. A
-// Gate holds requests instead, for a short time, in a fair queue, and lets one go each time that a slot
+// Limiter holds requests instead, for a short time, in a fair queue, and lets one go each time that a slot
 // comes free. Without refusals it holds nothing.
 //
 // An entry, a process that receives the requests of callers, sees only its own sends. It finds its part of the
 // slots as congestion control does: a refusal limits its sends in flight to those that were not refused, and
-// each answer raises the limit. A Gate does no I/O and is not safe for concurrent use; the caller passes
+// each answer raises the limit. A Limiter does no I/O and is not safe for concurrent use; the caller passes
 // the time.
 package slots
 
@@ -18,8 +18,11 @@
 )
 
 const (
-	// calmTime is the time without a refusal and without a queue after which the limit ends.
-	calmTime = time.Second
+	// heldWeight is the weight of the sends in flight in the limit after a refusal. It is below 1 because
+	// other entries' sends also cause refusals.
+	heldWeight = 2.0 / 3
+	// limitTTL is the time without a refusal and without a queue after which the limit ends.
+	limitTTL = time.Second
 	// minPause and maxPause bound the time without sends after a refusal with nothing else in flight, whose
 	// end would tell that a slot is free, and the time for which sends that hang hold up others.
 	// In between it is pauseShare of the service time: an upstream has several slots.
@@ -41,12 +44,12 @@
 
 // Decisions on requests.
 const (
-	// Admitted requests may be sent. Each must be followed by Answered, Refused or Withdraw.
+	// Admitted requests may be sent. Each must be followed by Answered, Refused or Cancel.
 	Admitted Decision = iota
 	// Queued requests wait until Next returns them.
 	Queued
-	// Hopeless requests can't be sent before they expire.
-	Hopeless
+	// Rejected requests can't be sent before they expire.
+	Rejected
 )
 
 // Request is a request that wants a slot.
@@ -62,8 +65,9 @@
 	Value     T
 }
 
-// Gate holds the requests to one service. The zero value is ready for use.
-type Gate[T comparable] struct {
+// Limiter limits the sends to the upstreams of one service that are in flight, and queues the requests
+// beyond that. The zero value is ready for use.
+type Limiter[T comparable] struct {
 	queue   queue.Queue[T]
 	waiting map[string]int
 	// inFlight is the number of sends that haven't ended.
@@ -79,164 +83,163 @@
 }
 
 // ServiceTime returns the average time that the upstreams take for a request; 0 if it isn't known.
-func (g *Gate[T]) ServiceTime() time.Duration { return g.serviceTime }
+func (l *Limiter[T]) ServiceTime() time.Duration { return l.serviceTime }
 
 // IsLimited reports whether slots are short.
-func (g *Gate[T]) IsLimited() bool { return g.limit > 0 }
+func (l *Limiter[T]) IsLimited() bool { return l.limit > 0 }
 
 // InFlight returns the number of sends that haven't ended.
-func (g *Gate[T]) InFlight() int { return g.inFlight }
+func (l *Limiter[T]) InFlight() int { return l.inFlight }
 
 // Limit returns the number of sends that may be in flight; 0 for no limit.
-func (g *Gate[T]) Limit() float64 { return g.limit }
+func (l *Limiter[T]) Limit() float64 { return l.limit }
 
 // Waiting returns the number of requests that wait.
-func (g *Gate[T]) Waiting() int { return g.queue.Len() }
+func (l *Limiter[T]) Waiting() int { return l.queue.Len() }
 
 // Enter admits, queues or turns away a request.
-func (g *Gate[T]) Enter(now time.Time, r Request[T]) Decision {
-	g.endWhenCalm(now)
-	if g.queue.Len() == 0 && g.mayHave(now) {
-		g.inFlight++
-		g.lastSent = now
-		g.charge(now, r)
+func (l *Limiter[T]) Enter(now time.Time, r Request[T]) Decision {
+	l.expireLimit(now)
+	if l.queue.Len() == 0 && l.mayAdmit(now) {
+		l.inFlight++
+		l.lastSent = now
+		l.charge(now, r)
 		return Admitted
 	}
-	isFull := g.queue.Len() >= maxWaiting || g.waiting[r.Workspace] >= maxWorkspaceWaiting
-	if isFull || now.Add(time.Duration(certainty*float64(g.Wait(now, r)))).After(r.ExpiresAt) {
-		return Hopeless
+	isFull := l.queue.Len() >= maxWaiting || l.waiting[r.Workspace] >= maxWorkspaceWaiting
+	if isFull || now.Add(time.Duration(certainty*float64(l.ExpectedWait(now, r)))).After(r.ExpiresAt) {
+		return Rejected
 	}
-	g.push(r)
+	l.push(r)
 	return Queued
 }
 
 // charge charges a request that is sent at once, so that its workspace's next ones wait for those of others.
-func (g *Gate[T]) charge(now time.Time, r Request[T]) {
-	if g.limit == 0 {
+func (l *Limiter[T]) charge(now time.Time, r Request[T]) {
+	if l.limit == 0 {
 		return
 	}
-	g.queue.Push(item(r))
-	g.queue.Pop(now)
+	l.queue.Push(item(r))
+	l.queue.Pop(now)
 }
 
-func (g *Gate[T]) push(r Request[T]) {
-	if g.waiting == nil {
-		g.waiting = map[string]int{}
+func (l *Limiter[T]) push(r Request[T]) {
+	if l.waiting == nil {
+		l.waiting = map[string]int{}
 	}
-	g.waiting[r.Workspace]++
-	g.queue.Push(item(r))
+	l.waiting[r.Workspace]++
+	l.queue.Push(item(r))
 }
 
 func item[T any](r Request[T]) queue.Item[T] {
 	return queue.Item[T]{Workspace: r.Workspace, Cost: 1, Weight: r.Weight, Batch: r.IsLessUrgent, PromoteAt: r.PromoteAt, Value: r.Value}
 }
 
-// Wait returns the time until a slot is expected to be free for a request, from the queue before its
+// ExpectedWait returns the time until a slot is expected to be free for a request, from the queue before its
 // workspace and the rate at which this process's slots come free.
-func (g *Gate[T]) Wait(now time.Time, r Request[T]) time.Duration {
-	if g.limit == 0 {
+func (l *Limiter[T]) ExpectedWait(now time.Time, r Request[T]) time.Duration {
+	if l.limit == 0 {
 		return 0
 	}
-	ahead := g.queue.CountAhead(r.Workspace, r.IsLessUrgent && now.Before(r.PromoteAt), now)
-	wait := time.Duration(float64(ahead+1) / g.limit * float64(g.serviceTime))
-	return max(wait, g.pausedUntil.Sub(now))
+	ahead := l.queue.CountAhead(r.Workspace, r.IsLessUrgent && now.Before(r.PromoteAt), now)
+	wait := time.Duration(float64(ahead+1) / l.limit * float64(l.serviceTime))
+	return max(wait, l.pausedUntil.Sub(now))
 }
 
-// mayHave reports whether another request may be in flight. Where none was sent for as long as a request usually
+// mayAdmit reports whether another request may be in flight. Where none was sent for as long as a request usually
 // takes, one may: those in flight may hang at an upstream that doesn't answer.
-func (g *Gate[T]) mayHave(now time.Time) bool {
-	if g.limit == 0 {
+func (l *Limiter[T]) mayAdmit(now time.Time) bool {
+	if l.limit == 0 {
 		return true
 	}
-	hasRoom := float64(g.inFlight+1) <= max(1, g.limit)
-	return !now.Before(g.pausedUntil) && (hasRoom || !now.Before(g.stalledAt()))
+	hasRoom := float64(l.inFlight+1) <= max(1, l.limit)
+	return !now.Before(l.pausedUntil) && (hasRoom || !now.Before(l.stalledAt()))
 }
 
 // stalledAt returns when the sends in flight no longer hold up others.
-func (g *Gate[T]) stalledAt() time.Time { return g.lastSent.Add(bounded(g.serviceTime)) }
+func (l *Limiter[T]) stalledAt() time.Time { return l.lastSent.Add(bounded(l.serviceTime)) }
 
 // bounded returns a time between minPause and maxPause.
 func bounded(d time.Duration) time.Duration { return min(maxPause, max(minPause, d)) }
 
 // Next returns a queued request that may be sent now; ok is false if there is none.
-func (g *Gate[T]) Next(now time.Time) (v T, ok bool) {
-	if !g.mayHave(now) {
+func (l *Limiter[T]) Next(now time.Time) (v T, ok bool) {
+	if !l.mayAdmit(now) {
 		return v, false
 	}
-	w, v, ok := g.queue.PopFrom(now)
+	w, v, ok := l.queue.PopFrom(now)
 	if !ok {
 		return v, false
 	}
-	g.forget(w)
-	g.inFlight++
-	g.lastSent = now
+	l.forget(w)
+	l.inFlight++
+	l.lastSent = now
 	return v, true
 }
 
-func (g *Gate[T]) forget(workspace string) {
-	g.waiting[workspace]--
-	if g.waiting[workspace] <= 0 {
-		delete(g.waiting, workspace)
+func (l *Limiter[T]) forget(workspace string) {
+	l.waiting[workspace]--
+	if l.waiting[workspace] <= 0 {
+		delete(l.waiting, workspace)
 	}
 }
 
 // NextAt returns when Next returns a request although nothing in flight ends; ok is false if none waits.
-func (g *Gate[T]) NextAt() (at time.Time, ok bool) {
-	at = g.stalledAt()
-	if at.Before(g.pausedUntil) {
-		at = g.pausedUntil
+func (l *Limiter[T]) NextAt() (at time.Time, ok bool) {
+	at = l.stalledAt()
+	if at.Before(l.pausedUntil) {
+		at = l.pausedUntil
 	}
-	return at, g.queue.Len() > 0
+	return at, l.queue.Len() > 0
 }
 
 // Drop removes a request of a workspace from the queue and reports whether it was there.
-func (g *Gate[T]) Drop(workspace string, v T) bool {
-	if len(g.queue.Drop(func(x T) bool { return x == v })) == 0 {
+func (l *Limiter[T]) Drop(workspace string, v T) bool {
+	if len(l.queue.Drop(func(x T) bool { return x == v })) == 0 {
 		return false
 	}
-	g.forget(workspace)
+	l.forget(workspace)
 	return true
 }
 
 // Answered records that an upstream has answered a send in the given time.
-func (g *Gate[T]) Answered(now time.Time, took time.Duration) {
-	g.inFlight--
-	if g.serviceTime == 0 {
-		g.serviceTime = took
+func (l *Limiter[T]) Answered(now time.Time, took time.Duration) {
+	l.inFlight--
+	if l.serviceTime == 0 {
+		l.serviceTime = took
 	}
-	g.serviceTime += time.Duration(ewmaWeight * float64(took-g.serviceTime))
-	if g.limit > 0 {
-		g.limit += 1 / g.limit
+	l.serviceTime += time.Duration(ewmaWeight * float64(took-l.serviceTime))
+	if l.limit > 0 {
+		l.limit += 1 / l.limit
 	}
-	g.endWhenCalm(now)
+	l.expireLimit(now)
 }
 
-// Withdraw records that a request was not sent after all, or that its send failed for another reason than
+// Cancel records that a request was not sent after all, or that its send failed for another reason than
 // want of room.
-func (g *Gate[T]) Withdraw() { g.inFlight-- }
+func (l *Limiter[T]) Cancel() { l.inFlight-- }
 
 // Refused records that an upstream refused the send of a request since its slots were taken. The request's
 // workspace isn't charged for it.
-func (g *Gate[T]) Refused(now time.Time, r Request[T]) {
-	g.inFlight--
-	if g.limit > 0 {
-		g.queue.Refund(item(r))
+func (l *Limiter[T]) Refused(now time.Time, r Request[T]) {
+	l.inFlight--
+	if l.limit > 0 {
+		l.queue.Refund(item(r))
 	}
-	g.lastRefused = now
-	// Other entries' sends change the slots that are left, so the limit only moves towards what was held.
-	held := max(1, float64(g.inFlight))
-	if g.limit == 0 || held >= g.limit {
-		g.limit = held
+	l.lastRefused = now
+	held := max(1, float64(l.inFlight))
+	if l.limit == 0 || held >= l.limit {
+		l.limit = held
 	}
-	g.limit = (g.limit + 2*held) / 3
-	if g.inFlight == 0 {
-		g.pausedUntil = now.Add(bounded(time.Duration(pauseShare * float64(g.serviceTime))))
+	l.limit += heldWeight * (held - l.limit)
+	if l.inFlight == 0 {
+		l.pausedUntil = now.Add(bounded(time.Duration(pauseShare * float64(l.serviceTime))))
 	}
 }
 
-// endWhenCalm ends the limit once slots aren't short any more.
-func (g *Gate[T]) endWhenCalm(now time.Time) {
-	if g.queue.Len() == 0 && now.Sub(g.lastRefused) >= calmTime {
-		g.limit = 0
+// expireLimit ends the limit once slots aren't short any more.
+func (l *Limiter[T]) expireLimit(now time.Time) {
+	if l.queue.Len() == 0 && now.Sub(l.lastRefused) >= limitTTL {
+		l.limit = 0
 	}
 }
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -35,14 +35,14 @@
 	upstream  int
 }
 
-// fleet replays a load on entries and upstreams that refuse what exceeds their slots. Without gates a refused
+// fleet replays a load on entries and upstreams that refuse what exceeds their slots. Without limiters a refused
 // request is sent to the next upstream at once.
 type fleet struct {
-	rand   *rand.Rand
-	gates  []*Gate[*call]
-	busy   [upstreams]int
-	active []*call
-	weight func(workspace int) int64
+	rand     *rand.Rand
+	limiters []*Limiter[*call]
+	busy     [upstreams]int
+	active   []*call
+	weight   func(workspace int) int64
 	// answered counts the requests of each workspace that were answered within their target, refusals the
 	// sends that upstreams refused.
 	answered, sent []int
@@ -53,9 +53,9 @@
 	return Request[*call]{Workspace: fmt.Sprint(c.workspace), Weight: f.weight(c.workspace), ExpiresAt: c.arrived.Add(targetLatency - workTime), Value: c}
 }
 
-// enter lets a request ask the gate of its entry.
+// enter lets a request ask the limiter of its entry.
 func (f *fleet) enter(now time.Time, c *call) {
-	if f.gates == nil || f.gates[c.entry].Enter(now, f.request(c)) == Admitted {
+	if f.limiters == nil || f.limiters[c.entry].Enter(now, f.request(c)) == Admitted {
 		f.send(now, c)
 	}
 }
@@ -74,8 +74,8 @@
 		return
 	}
 	f.refusals++
-	if f.gates != nil {
-		f.gates[c.entry].Refused(now, f.request(c))
+	if f.limiters != nil {
+		f.limiters[c.entry].Refused(now, f.request(c))
 	}
 	if c.tries < maxTries {
 		f.enter(now, c)
@@ -94,12 +94,12 @@
 		if now.Sub(c.arrived) <= targetLatency {
 			f.answered[c.workspace]++
 		}
-		if f.gates != nil {
-			f.gates[c.entry].Answered(now, now.Sub(c.sentAt))
+		if f.limiters != nil {
+			f.limiters[c.entry].Answered(now, now.Sub(c.sentAt))
 		}
 	}
 	f.active = left
-	for i, g := range f.gates {
+	for i, g := range f.limiters {
 		for w := range len(f.sent) {
 			name := fmt.Sprint(w)
 			g.queue.Drop(func(c *call) bool {
@@ -111,7 +111,7 @@
 			})
 		}
 		for {
-			c, ok := f.gates[i].Next(now)
+			c, ok := f.limiters[i].Next(now)
 			if !ok {
 				break
 			}
@@ -121,11 +121,11 @@
 }
 
 // run replays ten seconds. multiple is what the first workspace sends, in shares; the others use usualPart of theirs.
-func run(seed uint64, multiple float64, hasGates bool, weight func(workspace int) int64) *fleet {
+func run(seed uint64, multiple float64, isLimited bool, weight func(workspace int) int64) *fleet {
 	f := &fleet{rand: rand.New(rand.NewPCG(seed, 3)), weight: weight, answered: make([]int, 16), sent: make([]int, 16)}
-	if hasGates {
+	if isLimited {
 		for range entries {
-			f.gates = append(f.gates, &Gate[*call]{})
+			f.limiters = append(f.limiters, &Limiter[*call]{})
 		}
 	}
 	var mean float64
@@ -180,18 +180,18 @@
 				t.Errorf("%s, %v times: %.3f of the others' requests in time, %.3f without the hot workspace", name, multiple, got, alone)
 			}
 			if multiple == 10 && before >= 0.9*alone {
-				t.Errorf("%s, %v times: %.3f in time without gates, so the load is too low for this test", name, multiple, before)
+				t.Errorf("%s, %v times: %.3f in time without limiters, so the load is too low for this test", name, multiple, before)
 			}
-			t.Logf("%s %v: alone %.3f, with gates %.3f (least %.3f, hot %.3f, %d refusals); without %.3f (%.3f, hot %.3f, %d)", name, multiple, alone,
+			t.Logf("%s %v: alone %.3f, with limiters %.3f (least %.3f, hot %.3f, %d refusals); without %.3f (%.3f, hot %.3f, %d)", name, multiple, alone,
 				got, least, float64(f.answered[0])/float64(f.sent[0]), f.refusals, before, leastBefore, float64(b.answered[0])/float64(b.sent[0]), b.refusals)
 		}
 	}
 }
 
-// TestGateWithoutRefusals checks that a gate holds nothing until an upstream has refused, and nothing again once
+// TestLimiterWithoutRefusals checks that a limiter holds nothing until an upstream has refused, and nothing again once
 // slots aren't short.
-func TestGateWithoutRefusals(t *testing.T) {
-	var g Gate[int]
+func TestLimiterWithoutRefusals(t *testing.T) {
+	var g Limiter[int]
 	for n := range 1000 {
 		if d := g.Enter(epoch, Request[int]{Value: n}); d != Admitted {
 			t.Fatalf("request %d: decision %d", n, d)
@@ -204,16 +204,16 @@
 	for range 999 {
 		g.Answered(epoch, time.Millisecond)
 	}
-	g.Enter(epoch.Add(calmTime), Request[int]{})
+	g.Enter(epoch.Add(limitTTL), Request[int]{})
 	if g.IsLimited() {
-		t.Errorf("limit of %v after %s without a refusal", g.Limit(), calmTime)
+		t.Errorf("limit of %v after %s without a refusal", g.Limit(), limitTTL)
 	}
 }
 
 // TestHopelessRequestIsTurnedAway checks that a workspace is turned away by the queue before its own requests, while
 // another one is still queued, and that its times to wait follow its queue.
 func TestHopelessRequestIsTurnedAway(t *testing.T) {
-	var g Gate[int]
+	var g Limiter[int]
 	request := func(workspace string, n int) Request[int] {
 		return Request[int]{Workspace: workspace, Weight: 1, Value: n, ExpiresAt: epoch.Add(500 * time.Millisecond)}
 	}
@@ -227,10 +227,10 @@
 		got = append(got, g.Enter(epoch, request("hot", 3+n)))
 	}
 	got = append(got, g.Enter(epoch, request("cool", 20)))
-	if d := cmp.Diff([]Decision{Queued, Hopeless, Queued}, []Decision{got[0], got[11], got[12]}); d != "" {
+	if d := cmp.Diff([]Decision{Queued, Rejected, Queued}, []Decision{got[0], got[11], got[12]}); d != "" {
 		t.Errorf("decisions on the first and last request, and on one of another workspace (-want +got):\n%s", d)
 	}
-	if hot, cool := g.Wait(epoch, request("hot", 30)), g.Wait(epoch, request("cool", 31)); hot <= 2*cool {
+	if hot, cool := g.ExpectedWait(epoch, request("hot", 30)), g.ExpectedWait(epoch, request("cool", 31)); hot <= 2*cool {
 		t.Errorf("waits: %s, other workspace %s", hot, cool)
 	}
 	g.Answered(epoch, 100*time.Millisecond)
@@ -245,7 +245,7 @@
 
 // TestHangingSendHoldsNobodyUp lets one send hang while others are refused. The queue moves on.
 func TestHangingSendHoldsNobodyUp(t *testing.T) {
-	var g Gate[int]
+	var g Limiter[int]
 	request := func(n int) Request[int] { return Request[int]{Value: n, ExpiresAt: epoch.Add(time.Second)} }
 	g.Enter(epoch, request(0))
 	g.Enter(epoch, request(1))
--- a/coord/upconn/late_test.go
+++ b/coord/upconn/late_test.go
@@ -17,7 +17,7 @@
 // namedRequest returns a request that a response matches if it has the request's id, or is an error and has none.
 func namedRequest(id string) *Request {
 	q := newRequest(id)
-	q.Names = func(h http.Header) bool { return h.Get("Id") != "" }
+	q.HasRequestID = func(h http.Header) bool { return h.Get("Id") != "" }
 	q.Matches = func(status int, h http.Header) bool {
 		return h.Get("Id") == id || h.Get("Id") == "" && status >= http.StatusBadRequest
 	}
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -4,7 +4,7 @@
 // a request again on a new connection if the upstream has closed the reused one; Do sends
 // each request at most once. Each error says whether the request may have reached the
 // upstream. If Request.Matches is set, a late or duplicate response to another request is
-// never passed on; Request.Names and Request.Group keep those that name no request apart.
+// never passed on; Request.HasRequestID and Request.Group keep those that name no request apart.
 package upconn
 
 import (
@@ -64,11 +64,12 @@
 	// Matches reports whether a response with this status and header can belong to this
 	// request; nil accepts any.
 	Matches func(status int, h http.Header) bool
-	// Names reports whether a response with this header names its request; nil if all do. After one that
-	// doesn't, the connection is closed: a late copy of it would match the next request too.
-	Names func(h http.Header) bool
-	// Group separates connections to an address: one is reused only for requests of the same group. Requests
-	// whose responses name none belong in another group than those that other requests must not be answered by.
+	// HasRequestID reports whether a response with this header states its request's id; nil if all do. After
+	// one that doesn't, the connection is closed: a late copy of it would be taken for the next response.
+	HasRequestID func(h http.Header) bool
+	// Group separates the connections to an address: a connection is reused only within its group. Requests
+	// whose responses state no id need a group of their own, so that a late copy never answers another kind of
+	// request.
 	Group string
 }
 
@@ -328,7 +329,7 @@
 	b.expiresAt = time.Now().Add(idleTimeout(resp.Header))
 	f := frame.Of(resp)
 	b.reuse = requestWritten && f != frame.Connection && !resp.Close && resp.ProtoAtLeast(1, 1)
-	if q.CloseAfter != nil && q.CloseAfter(resp.Header) || q.Names != nil && !q.Names(resp.Header) {
+	if q.CloseAfter != nil && q.CloseAfter(resp.Header) || q.HasRequestID != nil && !q.HasRequestID(resp.Header) {
 		b.reuse = false
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: body.Length, Framing: f, Body: b}, nil
--- a/entry/edge/evacuate.go
+++ b/entry/edge/evacuate.go
@@ -19,6 +19,6 @@
 			e.log.WithFields(logrus.Fields{"event": event, "data-centre": dc, "agents": len(now.Agents(dc))}).Info("evacuation changed")
 		}
 	}
-	note(before, now, "evacuated", "began")
+	note(before, now, "evacuation-began", "began")
 	note(now, before, "evacuation-ended", "ended")
 }
--- a/entry/proxy/cold.go
+++ b/entry/proxy/cold.go
@@ -16,9 +16,6 @@
 // maxStarts is the number of remembered starts above which those of upstreams that aren't listed are forgotten.
 const maxStarts = 4096
 
-// defaultColdBound is tolerated where the settings don't say what is.
-var defaultColdBound = pacer.Bound{Overage: 1.5, Slack: 5}
-
 // coldShare returns how many requests a second this entry may send to a cold upstream that takes perSecond from all.
 func (p *Proxy) coldShare(instance string, perSecond float64) float64 {
 	if !p.fleet.MaySend(time.Now()) {
@@ -35,9 +32,9 @@
 	})
 }
 
-// chill records a word on the cold time of an upstream. Nothing happens where its service has no limit for cold ones.
-// p.mu need not be held.
-func (p *Proxy) chill(now time.Time, r *rules.Rules, u roster.Upstream, w pacer.ColdWord) {
+// recordCold records a report on the cold time of an upstream. It does nothing if the service has no limit for cold
+// upstreams. p.mu need not be held.
+func (p *Proxy) recordCold(now time.Time, r *rules.Rules, u roster.Upstream, w pacer.ColdReport) {
 	s := r.Service(u.Service)
 	if s == nil || s.ColdRate <= 0 {
 		return
@@ -48,18 +45,10 @@
 	}
 }
 
-// assume holds an upstream to be cold for the usual time of its service.
-func (p *Proxy) assume(now time.Time, r *rules.Rules, u roster.Upstream, source pacer.Source) {
+// assumeCold holds an upstream to be cold for the usual time of its service.
+func (p *Proxy) assumeCold(now time.Time, r *rules.Rules, u roster.Upstream, source pacer.Source) {
 	if s := r.Service(u.Service); s != nil {
-		p.chill(now, r, u, pacer.ColdWord{Source: source, Remaining: s.ColdTime, AsOf: now})
-	}
-}
-
-// assumeCold holds an upstream of a data centre that was taken back to be cold for the usual time of its service, unless
-// its registration says otherwise later. p.mu must be held.
-func (p *Proxy) assumeCold(now time.Time, u roster.Upstream) {
-	if v := p.snapshot.Load(); v != nil {
-		p.assume(now, v.rules, u, pacer.Returned)
+		p.recordCold(now, r, u, pacer.ColdReport{Source: source, Remaining: s.ColdTime, AsOf: now})
 	}
 }
 
@@ -80,10 +69,10 @@
 		born, isKnown := p.starts[u.Instance]
 		p.starts[u.Instance] = u.Born
 		if !isFirst && (!isKnown || born != u.Born) {
-			p.assume(now.time, r, u, pacer.Started)
+			p.assumeCold(now.time, r, u, pacer.SourceStart)
 		}
 		if d, ok := l.Cold[u.Instance]; ok {
-			p.chill(now.time, r, u, pacer.ColdWord{Source: pacer.Registered, Remaining: d, AsOf: asOf})
+			p.recordCold(now.time, r, u, pacer.ColdReport{Source: pacer.SourceRegistration, Remaining: d, AsOf: asOf})
 		}
 	}
 }
@@ -94,7 +83,7 @@
 	if v == nil || info.Cold == 0 && !info.IsWarm {
 		return
 	}
-	p.chill(time.Now(), v.rules, u, pacer.ColdWord{Source: pacer.Answered, Remaining: info.Cold, AsOf: sentAt})
+	p.recordCold(time.Now(), v.rules, u, pacer.ColdReport{Source: pacer.SourceAnswer, Remaining: info.Cold, AsOf: sentAt})
 }
 
 // logColdChanges logs and counts the upstreams that have become cold or warm.
@@ -102,7 +91,7 @@
 	for _, c := range p.pacer.ColdChanges(now) {
 		l := p.log.WithFields(logrus.Fields{"instance": c.Instance, "per-second": c.PerSecond, "source": c.Source})
 		if !c.IsCold {
-			l.WithField("event", "upstream-warm").Info("upstream is warm; its limit ends by and by")
+			l.WithField("event", "upstream-warm").Info("upstream is warm; its limit ends in steps")
 			continue
 		}
 		p.metrics.coldUpstreams.WithLabelValues(string(c.Source)).Inc()
--- a/entry/proxy/cold_test.go
+++ b/entry/proxy/cold_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/picker"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
@@ -75,9 +76,9 @@
 // TestColdWordsOfUpstreams checks the other ways in which an entry learns that an upstream is cold, or warm.
 func TestColdWordsOfUpstreams(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		word func(p *Proxy, adopt func(cold map[string]time.Duration, l ...roster.Upstream))
-		want []string
+		name   string
+		report func(p *Proxy, adopt func(cold map[string]time.Duration, l ...roster.Upstream))
+		want   []string
 	}{
 		{"registration in the first list", func(p *Proxy, adopt func(map[string]time.Duration, ...roster.Upstream)) {
 			adopt(map[string]time.Duration{"old": time.Second, "other": time.Second, "unknown": time.Second}, upstreamOf("a", "old", 1), upstreamOf("b", "other", 1))
@@ -95,8 +96,8 @@
 		{"taken back", func(p *Proxy, _ func(map[string]time.Duration, ...roster.Upstream)) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.assumeCold(time.Now(), upstreamOf("a", "old", 1))
-			p.assumeCold(time.Now(), upstreamOf("b", "other", 1))
+			p.assumeCold(time.Now(), p.snapshot.Load().rules, upstreamOf("a", "old", 1), pacer.SourceReturn)
+			p.assumeCold(time.Now(), p.snapshot.Load().rules, upstreamOf("b", "other", 1), pacer.SourceReturn)
 		}, []string{"old"}},
 		{"gone", func(p *Proxy, adopt func(map[string]time.Duration, ...roster.Upstream)) {
 			p.observeUpstream(upstreamOf("a", "same", 1), calls.ResponseInfo{Cold: time.Second}, time.Now())
@@ -104,7 +105,7 @@
 		}, nil},
 	} {
 		p, adopt := newColdProxy(t)
-		c.word(p, adopt)
+		c.report(p, adopt)
 		if d := cmp.Diff(c.want, coldNames(p)); d != "" {
 			t.Errorf("%s (-want +got):\n%s", c.name, d)
 		}
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -230,14 +230,14 @@
 	defer p.mu.Unlock()
 	l := x.inBounds(p.candidates(x.service.Name, wire.Stage_STAGE_PREFILL, tried))
 	now, mean := time.Now(), meanBacklog(l)
-	uneven := p.isUneven(x)
+	uneven := p.knowsSlowness(x)
 	var lowest int
 	var first float64
 	for _, c := range l {
 		r, n := p.prefillRank(c, version), p.prefillBacklog(c, mean)
 		o := float64(n)
 		if uneven {
-			o = float64(p.unevenPrefillTime(now, c, n+x.call.PromptTokens))
+			o = float64(p.prefillTimeBySpeed(now, c, n+x.call.PromptTokens))
 		}
 		if !ok || cmp.Or(cmp.Compare(r, lowest), cmp.Compare(o, first)) < 0 {
 			best, lowest, first, backlog, ok = c, r, o, n, true
--- a/entry/proxy/evacuate.go
+++ b/entry/proxy/evacuate.go
@@ -8,6 +8,7 @@
 	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/evac"
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/pacer"
 	"cranberrypoint.example/coord/roster"
 	"github.com/sirupsen/logrus"
 )
@@ -39,12 +40,16 @@
 	}
 }
 
-// assumeReturnedCold holds the upstreams of a data centre that was taken back to be cold: they may have
-// been restarted while nobody looked. p.mu must be held.
+// assumeReturnedCold holds the upstreams of a data centre that was taken back to be cold for the usual
+// time of their service: they may have been restarted meanwhile. p.mu must be held.
 func (p *Proxy) assumeReturnedCold(now time.Time, dataCentre string) {
+	v := p.snapshot.Load()
+	if v == nil {
+		return
+	}
 	for _, u := range p.roster.Usable() {
 		if u.DataCentre == dataCentre {
-			p.assumeCold(now, u)
+			p.assumeCold(now, v.rules, u, pacer.SourceReturn)
 		}
 	}
 }
--- a/entry/proxy/pick.go
+++ b/entry/proxy/pick.go
@@ -53,7 +53,7 @@
 		}
 	}
 	staying = orAll(staying, func(u roster.Upstream) bool { return !p.isReturning(now, u) })
-	if p.picker.Uneven(all) && x.placement.expected.Work == 0 && x.attempts == 0 {
+	if p.picker.KnowsSlowness(all) && x.placement.expected.Work == 0 && x.attempts == 0 {
 		x.placement.expected = p.costs.Expect(costKey(x))
 	}
 	j := p.job(now, x)
@@ -67,7 +67,7 @@
 // notePlacement notes the slowness of the upstream to which a request is sent, if the upstreams of its service are
 // uneven. p.mu must be held.
 func (p *Proxy) notePlacement(now time.Time, x *exchange, u roster.Upstream) {
-	if !p.isUneven(x) {
+	if !p.knowsSlowness(x) {
 		return
 	}
 	x.placement.slowness, x.placement.age = p.picker.Slowness(now, u.Instance)
@@ -122,7 +122,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := x.placement.expected
-	if e.Work == 0 && !p.isUneven(x) {
+	if e.Work == 0 && !p.knowsSlowness(x) {
 		return
 	}
 	now := time.Now()
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -242,7 +242,7 @@
 		returnedAt:        map[string]time.Time{},
 		sendsTo:           map[string]int{},
 	}
-	p.settings.ColdBound = cmp.Or(s.ColdBound, defaultColdBound)
+	p.settings.ColdBound = cmp.Or(s.ColdBound, pacer.DefaultBound)
 	p.pacer = pacer.New(p.limitShare, pacer.WithColdShare(p.coldShare))
 	p.SetRegions(s.Regions)
 	var closeConns func()
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -72,7 +72,7 @@
 		MaxIdle:            p.maxIdleConns(x.service),
 		CloseAfter:         p.closesAfter,
 		Matches:            func(status int, h http.Header) bool { return p.codec.Matches(status, h, x.call.ID) },
-		Names:              func(h http.Header) bool { return p.codec.Matches(http.StatusOK, h, x.call.ID) },
+		HasRequestID:       func(h http.Header) bool { return p.codec.Matches(http.StatusOK, h, x.call.ID) },
 	})
 	if err != nil {
 		if !maybeSent(err) {
--- a/entry/proxy/share.go
+++ b/entry/proxy/share.go
@@ -37,13 +37,13 @@
 	weights atomic.Pointer[weights]
 
 	mu sync.Mutex
-	// gates holds the requests to each service of plain upstreams.
-	gates map[string]*serviceGate
+	// limiters holds the requests to each service of plain upstreams.
+	limiters map[string]*serviceLimiter
 }
 
-// serviceGate is the gate of a service.
-type serviceGate struct {
-	slots.Gate[*slotWaiter]
+// serviceLimiter is the limiter of a service.
+type serviceLimiter struct {
+	slots.Limiter[*slotWaiter]
 	// timer lets waiting requests go although no send ends; nil until it is needed.
 	timer *time.Timer
 }
@@ -105,15 +105,15 @@
 	admitted chan struct{}
 }
 
-// gate returns the gate of a service. p.shares.mu must be held.
-func (p *Proxy) gate(service string) *serviceGate {
-	g := p.shares.gates[service]
+// limiter returns the limiter of a service. p.shares.mu must be held.
+func (p *Proxy) limiter(service string) *serviceLimiter {
+	g := p.shares.limiters[service]
 	if g == nil {
-		if p.shares.gates == nil {
-			p.shares.gates = map[string]*serviceGate{}
+		if p.shares.limiters == nil {
+			p.shares.limiters = map[string]*serviceLimiter{}
 		}
-		g = &serviceGate{}
-		p.shares.gates[service] = g
+		g = &serviceLimiter{}
+		p.shares.limiters[service] = g
 	}
 	return g
 }
@@ -122,11 +122,11 @@
 // refused requests for want of room. Afterwards endSlot must be called, unless it returns a fault.
 func (p *Proxy) awaitSlot(x *exchange) *fault.Error {
 	now := time.Now()
-	q, d := p.enterGate(now, x)
+	q, d := p.requestSlot(now, x)
 	switch d {
 	case slots.Admitted:
 		return nil
-	case slots.Hopeless:
+	case slots.Rejected:
 		p.metrics.slotWaits.WithLabelValues("hopeless").Inc()
 		return overloadedFault(p.plainRetryAfter(x), "no slot is expected in time")
 	}
@@ -142,11 +142,11 @@
 	return p.endWait(x, q)
 }
 
-// enterGate asks the gate of the request's service for a slot.
-func (p *Proxy) enterGate(now time.Time, x *exchange) (q slots.Request[*slotWaiter], d slots.Decision) {
+// requestSlot asks the limiter of the request's service for a slot.
+func (p *Proxy) requestSlot(now time.Time, x *exchange) (q slots.Request[*slotWaiter], d slots.Decision) {
 	p.shares.mu.Lock()
 	defer p.shares.mu.Unlock()
-	g := p.gate(x.service.Name)
+	g := p.limiter(x.service.Name)
 	if !g.IsLimited() {
 		return q, g.Enter(now, q)
 	}
@@ -161,7 +161,7 @@
 // endWait ends the wait of a request that was admitted or no longer waits.
 func (p *Proxy) endWait(x *exchange, q slots.Request[*slotWaiter]) *fault.Error {
 	p.shares.mu.Lock()
-	g := p.gate(x.service.Name)
+	g := p.limiter(x.service.Name)
 	left := g.Drop(q.Workspace, q.Value)
 	after := p.slotRetryAfter(time.Now(), g, q)
 	p.shares.mu.Unlock()
@@ -215,11 +215,11 @@
 
 // slotRetryAfter returns when a refused caller's workspace is likely to have a slot, lengthened at random so
 // that callers don't come back together. p.shares.mu must be held.
-func (p *Proxy) slotRetryAfter(now time.Time, g *serviceGate, q slots.Request[*slotWaiter]) time.Duration {
+func (p *Proxy) slotRetryAfter(now time.Time, g *serviceLimiter, q slots.Request[*slotWaiter]) time.Duration {
 	if !g.IsLimited() {
 		return plainRetryAfter
 	}
-	wait := max(plainRetryAfter, g.Wait(now, q))
+	wait := max(plainRetryAfter, g.ExpectedWait(now, q))
 	return wait + time.Duration(retryJitter*rand.Float64()*float64(wait))
 }
 
@@ -228,7 +228,7 @@
 	now := time.Now()
 	p.shares.mu.Lock()
 	defer p.shares.mu.Unlock()
-	g := p.gate(x.service.Name)
+	g := p.limiter(x.service.Name)
 	return p.slotRetryAfter(now, g, p.slotRequest(now, x, g.ServiceTime(), nil))
 }
 
@@ -244,7 +244,7 @@
 	now := time.Now()
 	p.shares.mu.Lock()
 	defer p.shares.mu.Unlock()
-	g := p.gate(x.service.Name)
+	g := p.limiter(x.service.Name)
 	wasLimited := g.IsLimited()
 	switch {
 	case eris.Is(err, errNoRoom):
@@ -252,7 +252,7 @@
 	case done && err == nil:
 		g.Answered(now, took)
 	default:
-		g.Withdraw()
+		g.Cancel()
 	}
 	if !wasLimited && g.IsLimited() {
 		p.log.WithField("event", "slots-short").WithField("service", x.service.Name).WithField("in-flight", g.InFlight()).Info("upstreams refuse requests for want of room; sends are limited")
@@ -261,7 +261,7 @@
 }
 
 // admitWaiting lets the requests go that may be sent. p.shares.mu must be held.
-func (p *Proxy) admitWaiting(now time.Time, g *serviceGate) {
+func (p *Proxy) admitWaiting(now time.Time, g *serviceLimiter) {
 	for {
 		w, ok := g.Next(now)
 		if !ok {
--- a/entry/proxy/share_test.go
+++ b/entry/proxy/share_test.go
@@ -79,7 +79,7 @@
 	ctx, cancel := context.WithCancel(left.ctx)
 	left.ctx = ctx
 	cancel()
-	if f := e.awaitSlot(left); f == nil || e.gate("app").Waiting() > 0 {
+	if f := e.awaitSlot(left); f == nil || e.limiter("app").Waiting() > 0 {
 		t.Errorf("caller who left: %v", f)
 	}
 	done := make(chan *fault.Error)
@@ -115,7 +115,7 @@
 		}()
 		_, _ = e.tryInSlot(x, roster.Upstream{Instance: "u"})
 	}()
-	if d := cmp.Diff(0, e.gate("app").InFlight()); d != "" {
+	if d := cmp.Diff(0, e.limiter("app").InFlight()); d != "" {
 		t.Errorf("in flight (-want +got):\n%s", d)
 	}
 }
--- a/entry/proxy/slowness.go
+++ b/entry/proxy/slowness.go
@@ -21,9 +21,9 @@
 	return f
 }
 
-// isUneven reports whether an upstream of a request's service has ever named its slowness. p.mu must be held.
-func (p *Proxy) isUneven(x *exchange) bool {
-	return p.picker.Uneven(p.snapshot.Load().services[x.service.Name])
+// knowsSlowness reports whether an upstream of a request's service has ever named its slowness. p.mu must be held.
+func (p *Proxy) knowsSlowness(x *exchange) bool {
+	return p.picker.KnowsSlowness(p.snapshot.Load().services[x.service.Name])
 }
 
 // withSlowness adds the slowness of a decode engine to its cost for a request. Slow engines get fewer runs, and
@@ -57,17 +57,17 @@
 // prefillTime returns how long an engine is expected to take to prefill some tokens; engines count as equal unless one of
 // the service has named its slowness. p.mu must be held.
 func (p *Proxy) prefillTime(now time.Time, x *exchange, c candidate, tokens int64) time.Duration {
-	if e := p.engineStats; e.remotePrefill.perToken == 0 || !p.isUneven(x) {
+	if e := p.engineStats; e.remotePrefill.perToken == 0 || !p.knowsSlowness(x) {
 		return e.remotePrefill.estimate(tokens)
 	}
-	return p.unevenPrefillTime(now, c, tokens)
+	return p.prefillTimeBySpeed(now, c, tokens)
 }
 
 // initialTokenTime is the time to prefill a token that orders engines until a prefill was seen.
 const initialTokenTime = 20 * time.Microsecond
 
-// unevenPrefillTime is prefillTime by the engine's own speed and slowness. p.mu must be held.
-func (p *Proxy) unevenPrefillTime(now time.Time, c candidate, tokens int64) time.Duration {
+// prefillTimeBySpeed is prefillTime by the engine's own speed and slowness. p.mu must be held.
+func (p *Proxy) prefillTimeBySpeed(now time.Time, c candidate, tokens int64) time.Duration {
 	average := p.engineStats.remotePrefill
 	if average.perToken == 0 {
 		average.perToken = float64(initialTokenTime)
