--- a/coord/pacer/cold.go
+++ b/coord/pacer/cold.go
@@ -12,6 +12,9 @@
 	rampSteps = 4
 	// minRamp is above the delay of messages, so that late ones don't make an upstream cold again.
 	minRamp = time.Second
+	// maxCold bounds the cold upstreams that are kept. It is above the number of all upstreams, which may start at
+	// once: one that is dropped would get its full load.
+	maxCold = 4096
 	// maxColdTime bounds the time that an upstream is held to be cold on any single report.
 	maxColdTime = time.Hour
 	// The tolerances are the least differences by which a reported end must differ from the known one to count as new, in
@@ -168,7 +171,7 @@
 
 // dropLeastCold drops the upstreams that are warm first if there are too many. t.mu must be held.
 func (t *Table) dropLeastCold() {
-	for len(t.cold) > maxLimits {
+	for len(t.cold) > maxCold {
 		first := ""
 		for i, c := range t.cold {
 			if first == "" || c.until.Before(t.cold[first].until) {
--- a/coord/pacer/cold_test.go
+++ b/coord/pacer/cold_test.go
@@ -118,10 +118,10 @@
 	if isNews || len(b.cold) > 0 {
 		t.Errorf("%d upstreams are cold by senseless words", len(b.cold))
 	}
-	for i := range 2 * maxLimits {
+	for i := range 2 * maxCold {
 		b.ObserveCold(at(20), fmt.Sprint(i), coldReport(SourceStart, 3, 20))
 	}
-	if d := cmp.Diff([]int{maxLimits, maxReportedCold}, []int{len(b.cold), len(b.ReportCold(at(20)))}); d != "" {
+	if d := cmp.Diff([]int{maxCold, maxReportedCold}, []int{len(b.cold), len(b.ReportCold(at(20)))}); d != "" {
 		t.Errorf("kept and reported (-want +got):\n%s", d)
 	}
 }
--- a/coord/place/class.go
+++ b/coord/place/class.go
@@ -48,10 +48,18 @@
 		c.credit[p] = min(c.credit[p]+leastClassShare*r.cost(), maxCreditRequests*c.typicalCost)
 	}
 	if r.Priority > waits[0] {
-		c.credit[r.Priority] -= r.cost()
+		c.spend(r)
 	}
 }
 
+// spend takes the cost of a request from the credit of its class. The debt is bounded like the credit.
+func (c *classes) spend(r Request) {
+	if _, ok := c.credit[r.Priority]; !ok && len(c.credit) >= maxClasses {
+		return
+	}
+	c.credit[r.Priority] = max(c.credit[r.Priority]-r.cost(), -maxCreditRequests*c.typicalCost)
+}
+
 // promote moves the first request of the class with the most credit to the head of a sorted queue. A late request may
 // go first too: it takes the share of its own class, which would otherwise starve once its requests are late.
 func (c *classes) promote(queue []waiting) {
--- a/coord/place/share_test.go
+++ b/coord/place/share_test.go
@@ -334,3 +334,22 @@
 		t.Errorf("second request of the other workspace: %v", out)
 	}
 }
+
+// TestClassDebtIsBounded grants many requests of a less urgent class before late ones of a more urgent class.
+// The class must get its least share again after a few requests of others, and the classes kept stay few.
+func TestClassDebtIsBounded(t *testing.T) {
+	c := classes{credit: map[int]float64{}, typicalCost: 1000}
+	late := []waiting{{Request: Request{Priority: 0, PromptTokens: 1000}}}
+	for range 200 {
+		c.charge(Request{Priority: 5, PromptTokens: 1000}, late)
+	}
+	if d := cmp.Diff(-float64(maxCreditRequests*1000), c.credit[5]); d != "" {
+		t.Errorf("credit after 200 grants (-want +got):\n%s", d)
+	}
+	for p := range 10 * maxClasses {
+		c.charge(Request{Priority: 1 + p, PromptTokens: 1000}, late)
+	}
+	if n := len(c.credit); n > maxClasses {
+		t.Errorf("%d classes are kept, want at most %d", n, maxClasses)
+	}
+}
--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -6,8 +6,8 @@
 // comes free. Without refusals it holds nothing.
 //
 // An entry, a process that receives the requests of callers, sees only its own sends. It finds its part of the
-// slots as congestion control does: a refusal limits its sends in flight to those that were not refused, and
-// each answer raises the limit. A Limiter does no I/O and is not safe for concurrent use; the caller passes
+// slots as congestion control does: where a considerable part of the sends is refused, a refusal limits those
+// in flight to what was not refused, and each answer raises the limit. A Limiter does no I/O and is not safe for concurrent use; the caller passes
 // the time.
 package slots
 
@@ -23,9 +23,10 @@
 	heldWeight = 2.0 / 3
 	// limitTTL is the time without a refusal and without a queue after which the limit ends.
 	limitTTL = time.Second
+	// recoverTime is the time without a refusal that lowers the limit after which it grows fast.
+	recoverTime = limitTTL / 4
 	// minPause and maxPause bound the time without sends after a refusal with nothing else in flight, whose
-	// end would tell that a slot is free, and the time for which sends that hang hold up others.
-	// In between it is pauseShare of the service time: an upstream has several slots.
+	// end would tell that a slot is free. In between it is pauseShare of the service time: an upstream has several slots.
 	pauseShare = 0.125
 	minPause   = 10 * time.Millisecond
 	maxPause   = 100 * time.Millisecond
@@ -35,6 +36,11 @@
 	// certainty is the part of the expected wait that must exceed what is left for a request to be hopeless:
 	// slots come free at random, and about half of the waits are shorter than expected.
 	certainty = 0.5
+	// shortShare is the part of the last sends that must have been refused for slots to be short. Below it
+	// a few upstreams are full, and others take what these refuse.
+	shortShare = 0.2
+	// refusalWeight is the weight of a new result in the part of sends that are refused.
+	refusalWeight = 0.1
 	// ewmaWeight is the weight of a new sample in the average service time.
 	ewmaWeight = 0.2
 )
@@ -80,6 +86,8 @@
 	lastSent time.Time
 	// serviceTime is the average time from a send to the end of its answer; 0 if none was seen.
 	serviceTime time.Duration
+	// refusedShare is the part of the last sends that were refused.
+	refusedShare float64
 }
 
 // ServiceTime returns the average time that the upstreams take for a request; 0 if it isn't known.
@@ -101,8 +109,7 @@
 func (l *Limiter[T]) Enter(now time.Time, r Request[T]) Decision {
 	l.expireLimit(now)
 	if l.queue.Len() == 0 && l.mayAdmit(now) {
-		l.inFlight++
-		l.lastSent = now
+		l.send(now)
 		l.charge(now, r)
 		return Admitted
 	}
@@ -114,6 +121,13 @@
 	return Queued
 }
 
+// send counts a send that begins.
+func (l *Limiter[T]) send(now time.Time) {
+	l.inFlight++
+	l.lastSent = now
+	l.refusedShare -= refusalWeight * l.refusedShare
+}
+
 // charge charges a request that is sent at once, so that its workspace's next ones wait for those of others.
 func (l *Limiter[T]) charge(now time.Time, r Request[T]) {
 	if l.limit == 0 {
@@ -157,7 +171,7 @@
 }
 
 // stalledAt returns when the sends in flight no longer hold up others.
-func (l *Limiter[T]) stalledAt() time.Time { return l.lastSent.Add(bounded(l.serviceTime)) }
+func (l *Limiter[T]) stalledAt() time.Time { return l.lastSent.Add(max(minPause, l.serviceTime)) }
 
 // bounded returns a time between minPause and maxPause.
 func bounded(d time.Duration) time.Duration { return min(maxPause, max(minPause, d)) }
@@ -172,8 +186,7 @@
 		return v, false
 	}
 	l.forget(w)
-	l.inFlight++
-	l.lastSent = now
+	l.send(now)
 	return v, true
 }
 
@@ -187,7 +200,7 @@
 // NextAt returns when Next returns a request although nothing in flight ends; ok is false if none waits.
 func (l *Limiter[T]) NextAt() (at time.Time, ok bool) {
 	at = l.stalledAt()
-	if at.Before(l.pausedUntil) {
+	if hasRoom := float64(l.inFlight+1) <= max(1, l.limit); hasRoom || at.Before(l.pausedUntil) {
 		at = l.pausedUntil
 	}
 	return at, l.queue.Len() > 0
@@ -210,21 +223,36 @@
 	}
 	l.serviceTime += time.Duration(ewmaWeight * float64(took-l.serviceTime))
 	if l.limit > 0 {
-		l.limit += 1 / l.limit
+		l.limit += l.growth(now)
 	}
 	l.expireLimit(now)
 }
 
+// growth returns by how much an answer raises the limit: by one for all that are in flight, or for each once
+// slots haven't been short for recoverTime.
+func (l *Limiter[T]) growth(now time.Time) float64 {
+	if now.Sub(l.lastRefused) >= recoverTime {
+		return 1
+	}
+	return 1 / l.limit
+}
+
 // Cancel records that a request was not sent after all, or that its send failed for another reason than
-// want of room.
-func (l *Limiter[T]) Cancel() { l.inFlight-- }
+// want of room. Its workspace isn't charged for it.
+func (l *Limiter[T]) Cancel(r Request[T]) {
+	l.inFlight--
+	if l.limit > 0 {
+		l.queue.Refund(item(r))
+	}
+}
 
 // Refused records that an upstream refused the send of a request since its slots were taken. The request's
 // workspace isn't charged for it.
 func (l *Limiter[T]) Refused(now time.Time, r Request[T]) {
-	l.inFlight--
-	if l.limit > 0 {
-		l.queue.Refund(item(r))
+	l.Cancel(r)
+	l.refusedShare += refusalWeight
+	if l.refusedShare < shortShare {
+		return
 	}
 	l.lastRefused = now
 	held := max(1, float64(l.inFlight))
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -197,6 +197,7 @@
 			t.Fatalf("request %d: decision %d", n, d)
 		}
 	}
+	g.refusedShare = 1
 	g.Refused(epoch, Request[int]{})
 	if d := cmp.Diff(999.0, g.Limit()); d != "" {
 		t.Errorf("limit after a refusal (-want +got):\n%s", d)
@@ -213,7 +214,7 @@
 // TestHopelessRequestIsTurnedAway checks that a workspace is turned away by the queue before its own requests, while
 // another one is still queued, and that its times to wait follow its queue.
 func TestHopelessRequestIsTurnedAway(t *testing.T) {
-	var g Limiter[int]
+	g := Limiter[int]{refusedShare: 1}
 	request := func(workspace string, n int) Request[int] {
 		return Request[int]{Workspace: workspace, Weight: 1, Value: n, ExpiresAt: epoch.Add(500 * time.Millisecond)}
 	}
@@ -245,7 +246,7 @@
 
 // TestHangingSendHoldsNobodyUp lets one send hang while others are refused. The queue moves on.
 func TestHangingSendHoldsNobodyUp(t *testing.T) {
-	var g Limiter[int]
+	g := Limiter[int]{refusedShare: 1}
 	request := func(n int) Request[int] { return Request[int]{Value: n, ExpiresAt: epoch.Add(time.Second)} }
 	g.Enter(epoch, request(0))
 	g.Enter(epoch, request(1))
@@ -264,3 +265,57 @@
 		t.Errorf("at that time goes %d, %t", v, ok)
 	}
 }
+
+// TestFewRefusalsLimitNothing replays callers who come again after each answer, while one in twenty of
+// their sends meets a full upstream and the others meet idle ones, as where one region is full. The
+// limiter must leave them what they get without it.
+func TestFewRefusalsLimitNothing(t *testing.T) {
+	const (
+		callers     = 80
+		serviceTime = 100 * time.Millisecond
+		steps       = 2000
+		stepTime    = 10 * time.Millisecond
+		refused     = 0.05
+	)
+	var g Limiter[int]
+	r := rand.New(rand.NewPCG(1, 1))
+	now, answered := epoch, 0
+	ends := map[int]time.Time{}
+	send := func(n int) {
+		if r.Float64() < refused {
+			g.Refused(now, Request[int]{Value: n})
+			return
+		}
+		ends[n] = now.Add(serviceTime)
+	}
+	queued := map[int]bool{}
+	for range steps {
+		now = now.Add(stepTime)
+		for n, at := range ends {
+			if !now.Before(at) {
+				delete(ends, n)
+				answered++
+				g.Answered(now, serviceTime)
+			}
+		}
+		for v, ok := g.Next(now); ok; v, ok = g.Next(now) {
+			delete(queued, v)
+			send(v)
+		}
+		for n := range callers {
+			if _, isSent := ends[n]; isSent || queued[n] {
+				continue
+			}
+			switch g.Enter(now, Request[int]{Value: n, ExpiresAt: now.Add(time.Hour)}) {
+			case Admitted:
+				send(n)
+			case Queued:
+				queued[n] = true
+			}
+		}
+	}
+	ideal := callers * int(steps*stepTime/serviceTime)
+	if answered < ideal*9/10 {
+		t.Errorf("%d of %d requests were answered", answered, ideal)
+	}
+}
--- a/entry/proxy/cold.go
+++ b/entry/proxy/cold.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
@@ -21,8 +22,41 @@
 	if !p.fleet.MaySend(time.Now()) {
 		return 0
 	}
-	known := append(p.mesh.KnownNames(mesh.RoleEntry), p.settings.VM)
-	return p.settings.ColdBound.Share(instance, perSecond, p.settings.VM, known)
+	s := p.coldShares.Load()
+	if s == nil {
+		return 0
+	}
+	return s.of(coldLimit{instance, perSecond}, func(l coldLimit) float64 {
+		return p.settings.ColdBound.Share(l.instance, l.perSecond, p.settings.VM, s.entries)
+	})
+}
+
+// coldLimit is the limit of a cold upstream, in requests a second.
+type coldLimit struct {
+	instance  string
+	perSecond float64
+}
+
+// coldShares are the shares of limits as of one heartbeat. Each choice among many cold upstreams asks for
+// all of them, and each needs the ranks of all entries.
+type coldShares struct {
+	// entries are the names of all known entries, this one included.
+	entries []string
+
+	mu      sync.Mutex
+	byLimit map[coldLimit]float64
+}
+
+// of returns the share of a limit, which share computes the first time.
+func (s *coldShares) of(l coldLimit, share func(coldLimit) float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.byLimit[l]
+	if !ok {
+		f = share(l)
+		s.byLimit[l] = f
+	}
+	return f
 }
 
 // observeFleet records which other entries this one hears.
@@ -30,6 +64,10 @@
 	p.fleet.Observe(now, pacer.View{
 		Heard: p.mesh.HeardNames(mesh.RoleEntry), Joined: p.mesh.HasJoined(), Isolated: p.mesh.Isolated(),
 	})
+	p.coldShares.Store(&coldShares{
+		entries: append(p.mesh.KnownNames(mesh.RoleEntry), p.settings.VM),
+		byLimit: map[coldLimit]float64{},
+	})
 }
 
 // recordCold records a report on the cold time of an upstream. It does nothing if the service has no limit for cold
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -128,10 +128,10 @@
 }
 
 // candidates returns the engines of a service that are usable in a stage. p.mu must be held.
-func (p *Proxy) candidates(service string, stage wire.Stage, tried map[string]bool) (l []candidate) {
+func (p *Proxy) candidates(service string, stage wire.Stage, tried map[string]bool, accepts func(roster.Upstream) bool) (l []candidate) {
 	now := time.Now()
 	for _, u := range p.snapshot.Load().services[service] {
-		if tried[u.Instance] || !p.isAvailable(now, u.Instance) || p.unsubscribed[u.Address] || p.picker.Ejected(now, u.Instance) {
+		if tried[u.Instance] || !accepts(u) || !p.isAvailable(now, u.Instance) || p.unsubscribed[u.Address] || p.picker.Ejected(now, u.Instance) {
 			continue
 		}
 		c := candidate{upstream: u, stage: u.Stage}
@@ -146,6 +146,9 @@
 			l = append(l, c)
 		}
 	}
+	if len(p.returnedAt) == 0 {
+		return l
+	}
 	return orAll(l, func(c candidate) bool { return !p.isReturning(now, c.upstream) })
 }
 
@@ -156,10 +159,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	var least float64
-	for _, c := range p.candidates(x.service.Name, wire.Stage_STAGE_DECODE, tried) {
-		if !x.accepts(c.upstream) {
-			continue
-		}
+	for _, c := range p.candidates(x.service.Name, wire.Stage_STAGE_DECODE, tried, x.accepts) {
 		cost, free := p.decodeCost(x, c)
 		cost = p.withSlowness(x, cost, p.slowness(now, c), free)
 		if p.isSaidToLeave(now, c.upstream.Instance) || c.state != nil && c.state.Leaving {
@@ -228,7 +228,7 @@
 func (p *Proxy) pickPrefill(x *exchange, version string, tried map[string]bool) (best candidate, backlog int64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := x.inBounds(p.candidates(x.service.Name, wire.Stage_STAGE_PREFILL, tried))
+	l := p.candidates(x.service.Name, wire.Stage_STAGE_PREFILL, tried, x.isInBounds)
 	now, mean := time.Now(), meanBacklog(l)
 	uneven := p.knowsSlowness(x)
 	var lowest int
--- a/entry/proxy/evacuate.go
+++ b/entry/proxy/evacuate.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -27,6 +28,7 @@
 		DataCentres: l.Evacuated,
 		Kept:        l.KeptEvacuations,
 	})
+	p.forgetReturned(now.time)
 	for _, d := range c.Began {
 		p.logEvacuation("evacuation-began", d, l)
 		p.metrics.evacuations.WithLabelValues(d, "began").Inc()
@@ -108,12 +110,13 @@
 	if !ok {
 		return false
 	}
-	s := evac.Share(now, at)
-	if s >= 1 {
-		delete(p.returnedAt, u.DataCentre)
-		return false
-	}
-	return rand.Float64() >= s
+	return rand.Float64() >= evac.Share(now, at)
+}
+
+// forgetReturned forgets the data centres whose upstreams take part in all choices again. p.mu must be
+// held.
+func (p *Proxy) forgetReturned(now time.Time) {
+	maps.DeleteFunc(p.returnedAt, func(_ string, at time.Time) bool { return evac.Share(now, at) >= 1 })
 }
 
 // orAll returns the items of a list that pass a test, or the whole list if none does.
--- a/entry/proxy/evacuate_test.go
+++ b/entry/proxy/evacuate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/region"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
@@ -211,3 +212,27 @@
 		t.Errorf("cold, of a data centre that was taken back and of another (-want +got):\n%s", d)
 	}
 }
+
+// TestOnlyAllowedEngineReturns lets a request whose only allowed engine is in a data centre that was just
+// taken back choose an engine. It must get that one, although others take part in all choices.
+func TestOnlyAllowedEngineReturns(t *testing.T) {
+	const tries = 50
+	p, x := newTestEntry(t, 0, 1, 50000)
+	p.returnedAt = map[string]time.Time{"east": time.Now()}
+	p.snapshot.Store(&snapshot{services: map[string][]roster.Upstream{"llm": {
+		{Instance: "alone", Address: "alone:1", Stage: wire.Stage_STAGE_DECODE, DataCentre: "west"},
+		{Instance: "told", Address: "told:1", Stage: wire.Stage_STAGE_DECODE, DataCentre: "east"},
+	}}})
+	x.bounds = region.New([]string{"allowed"})
+	x.regions = map[string]string{"east": "allowed", "west": "other"}
+	got := map[string]int{}
+	for range tries {
+		c, _, ok := p.pickDecode(x, nil)
+		if ok {
+			got[c.upstream.Instance]++
+		}
+	}
+	if d := cmp.Diff(map[string]int{"told": tries}, got); d != "" {
+		t.Errorf("engines chosen (-want +got):\n%s", d)
+	}
+}
--- a/entry/proxy/pick.go
+++ b/entry/proxy/pick.go
@@ -52,7 +52,9 @@
 			staying = append(staying, u)
 		}
 	}
-	staying = orAll(staying, func(u roster.Upstream) bool { return !p.isReturning(now, u) })
+	if len(p.returnedAt) > 0 {
+		staying = orAll(staying, func(u roster.Upstream) bool { return !p.isReturning(now, u) })
+	}
 	if p.picker.KnowsSlowness(all) && x.placement.expected.Work == 0 && x.attempts == 0 {
 		x.placement.expected = p.costs.Expect(costKey(x))
 	}
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -30,13 +31,18 @@
 // servePlain answers a plain request, that is, any but a stream that runs on model engines.
 func (p *Proxy) servePlain(x *exchange) {
 	p.countRequest(x)
-	tried := map[string]bool{}
+	tried, full := map[string]bool{}, map[string]bool{}
 	var last error
 	for range maxPlainUpstreams {
+		waited := x.record.waited
 		if e := p.awaitSlot(x); e != nil {
 			p.failWaiting(x, e, last)
 			return
 		}
+		if x.record.waited > waited {
+			// Slots have come free meanwhile, maybe where there were none.
+			maps.DeleteFunc(tried, func(i string, _ bool) bool { return full[i] })
+		}
 		if e := cmp.Or(p.checkStillAllowed(x), p.checkEvacuated(x), p.checkRegions(x), p.checkQuarantine(x), p.checkVersion(x), p.checkAvailable(x)); e != nil {
 			p.endSlot(x, false, nil, 0)
 			p.fail(x, e)
@@ -53,6 +59,7 @@
 			return
 		}
 		last = err
+		full[u.Instance] = eris.Is(err, errNoRoom)
 	}
 	if x.mayHaveRun {
 		p.fail(x, unknownOutcomeFault(last))
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -207,10 +207,16 @@
 	method, path := p.codec.FreeRequest(h)
 	resp, err := p.conns.Do(ctx, c.upstream.Address, &upconn.Request{Method: method, Target: path, Host: c.upstream.Address, Header: http.Header{}, Group: upconn.ControlGroup})
 	if err != nil {
+		if !maybeSent(err) {
+			p.pacer.Return(time.Now(), c.upstream.Instance)
+		}
 		p.log.WithField("event", "free-failed").WithField("instance", c.upstream.Instance).WithError(err).Warn("KV cache was not freed")
 		return
 	}
 	info := p.codec.ResponseInfo(resp.Status, resp.Header)
+	if info.WrongInstance {
+		p.pacer.Return(time.Now(), c.upstream.Instance)
+	}
 	p.observeUpstream(c.upstream, info, now)
 	p.observeSlowness(c.upstream, info)
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHandleBytes))
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -119,6 +119,8 @@
 	shutdown       atomic.Pointer[shutdown]
 	activeRequests atomic.Int64
 	clientConns    *connTracker
+	// coldShares are those of the limits of cold upstreams as of the last heartbeat.
+	coldShares atomic.Pointer[coldShares]
 	// stoppedAccepting is closed once no more connections of callers are accepted.
 	stoppedAccepting chan struct{}
 
--- a/entry/proxy/regions.go
+++ b/entry/proxy/regions.go
@@ -45,11 +45,6 @@
 	return x.bounds.Allows(x.regions[u.DataCentre])
 }
 
-// inBounds returns the engines that are in a region in which the request may run.
-func (x *exchange) inBounds(l []candidate) []candidate {
-	return slices.DeleteFunc(l, func(c candidate) bool { return !x.isInBounds(c.upstream) })
-}
-
 // checkRegions refuses a request that no upstream of its service may run, although there are some. Nobody
 // knows when there will be one in its regions, so the caller isn't told when to come back.
 func (p *Proxy) checkRegions(x *exchange) *fault.Error {
--- a/entry/proxy/share.go
+++ b/entry/proxy/share.go
@@ -105,15 +105,24 @@
 	admitted chan struct{}
 }
 
-// limiter returns the limiter of a service. p.shares.mu must be held.
-func (p *Proxy) limiter(service string) *serviceLimiter {
-	g := p.shares.limiters[service]
+// limiterKey returns the key of the limiter of a request: its service and, since other upstreams serve others,
+// the regions in which it may run.
+func limiterKey(x *exchange) string {
+	if !x.bounds.Restricts() {
+		return x.service.Name
+	}
+	return x.service.Name + " in " + x.bounds.String()
+}
+
+// limiter returns the limiter with a key of limiterKey. p.shares.mu must be held.
+func (p *Proxy) limiter(key string) *serviceLimiter {
+	g := p.shares.limiters[key]
 	if g == nil {
 		if p.shares.limiters == nil {
 			p.shares.limiters = map[string]*serviceLimiter{}
 		}
 		g = &serviceLimiter{}
-		p.shares.limiters[service] = g
+		p.shares.limiters[key] = g
 	}
 	return g
 }
@@ -146,7 +155,7 @@
 func (p *Proxy) requestSlot(now time.Time, x *exchange) (q slots.Request[*slotWaiter], d slots.Decision) {
 	p.shares.mu.Lock()
 	defer p.shares.mu.Unlock()
-	g := p.limiter(x.service.Name)
+	g := p.limiter(limiterKey(x))
 	if !g.IsLimited() {
 		return q, g.Enter(now, q)
 	}
@@ -161,7 +170,7 @@
 // endWait ends the wait of a request that was admitted or no longer waits.
 func (p *Proxy) endWait(x *exchange, q slots.Request[*slotWaiter]) *fault.Error {
 	p.shares.mu.Lock()
-	g := p.limiter(x.service.Name)
+	g := p.limiter(limiterKey(x))
 	left := g.Drop(q.Workspace, q.Value)
 	after := p.slotRetryAfter(time.Now(), g, q)
 	p.shares.mu.Unlock()
@@ -228,7 +237,7 @@
 	now := time.Now()
 	p.shares.mu.Lock()
 	defer p.shares.mu.Unlock()
-	g := p.limiter(x.service.Name)
+	g := p.limiter(limiterKey(x))
 	return p.slotRetryAfter(now, g, p.slotRequest(now, x, g.ServiceTime(), nil))
 }
 
@@ -244,7 +253,7 @@
 	now := time.Now()
 	p.shares.mu.Lock()
 	defer p.shares.mu.Unlock()
-	g := p.limiter(x.service.Name)
+	g := p.limiter(limiterKey(x))
 	wasLimited := g.IsLimited()
 	switch {
 	case eris.Is(err, errNoRoom):
@@ -252,7 +261,7 @@
 	case done && err == nil:
 		g.Answered(now, took)
 	default:
-		g.Cancel()
+		g.Cancel(slots.Request[*slotWaiter]{Workspace: x.workspaceName(), Weight: p.shareWeight(x)})
 	}
 	if !wasLimited && g.IsLimited() {
 		p.log.WithField("event", "slots-short").WithField("service", x.service.Name).WithField("in-flight", g.InFlight()).Info("upstreams refuse requests for want of room; sends are limited")
--- a/entry/proxy/share_test.go
+++ b/entry/proxy/share_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// TestPlainRequestsWaitForSlots lets an upstream refuse a request while another one is in flight. It then waits until
+// TestPlainRequestsWaitForSlots lets an upstream refuse a request, several times, while another one is in flight. It then waits until
 // that one is answered; a caller who leaves frees its place in the queue, and a request that can't be answered in time is
 // refused at once, with a time to return.
 func TestPlainRequestsWaitForSlots(t *testing.T) {
@@ -75,6 +75,12 @@
 		}
 	}
 	e.endSlot(refused, false, errNoRoom, 0)
+	for !e.limiter("app").IsLimited() {
+		if f := e.awaitSlot(refused); f != nil {
+			t.Fatalf("after few refusals: %v", f)
+		}
+		e.endSlot(refused, false, errNoRoom, 0)
+	}
 	left := newSharedCall(t, e, "unlimited", time.Second)
 	ctx, cancel := context.WithCancel(left.ctx)
 	left.ctx = ctx
