proxy: an upstream that names a recent start is held to be cold in the first list

Its time of start is another clock's, so it only holds back. TestRecentStartIsColdInFirstList failed before.

--- a/entry/proxy/cold.go
+++ b/entry/proxy/cold.go
@@ -90,9 +90,9 @@
 	}
 }
 
-// learnCold learns from a listing which upstreams are cold: those that say so, and those that start. All that are in the
-// first listing started before, as far as this entry can tell: their own times of start are those of other clocks.
-// p.mu must be held.
+// learnCold learns from a listing which upstreams are cold: those that say so, and those that start. Of the first
+// listing, those count as starting that name a recent start: all processes may have been restarted since. That is the
+// time of another clock, so it is used only to hold back. p.mu must be held.
 func (p *Proxy) learnCold(now moment, r *rules.Rules, l calls.Listing, asOf time.Time, isFirst bool) {
 	if r == nil {
 		return
@@ -106,7 +106,8 @@
 	for _, u := range listed {
 		born, isKnown := p.starts[u.Instance]
 		p.starts[u.Instance] = u.Born
-		if !isFirst && (!isKnown || born != u.Born) {
+		isNew := !isFirst && (!isKnown || born != u.Born)
+		if isNew || isFirst && isRecent(now.time, r, u) {
 			p.assumeCold(now.time, r, u, pacer.SourceStart)
 		}
 		if d, ok := l.Cold[u.Instance]; ok {
@@ -115,6 +116,16 @@
 	}
 }
 
+// isRecent reports whether an upstream names a start within the cold time of its service.
+func isRecent(now time.Time, r *rules.Rules, u roster.Upstream) bool {
+	s := r.Service(u.Service)
+	if s == nil {
+		return false
+	}
+	age := now.Sub(time.UnixMilli(u.Born))
+	return age >= 0 && age < s.ColdTime
+}
+
 // observeCold records what an answer of an upstream says of its cold time. sentAt is when the request was sent.
 func (p *Proxy) observeCold(u roster.Upstream, info calls.ResponseInfo, sentAt time.Time) {
 	v := p.snapshot.Load()
--- a/entry/proxy/cold_test.go
+++ b/entry/proxy/cold_test.go
@@ -73,6 +73,25 @@
 	}
 }
 
+// TestRecentStartIsColdInFirstList checks that an entry which starts after an upstream that names a recent start holds it
+// to be cold.
+func TestRecentStartIsColdInFirstList(t *testing.T) {
+	now := time.Now()
+	r, err := rules.New(rules.Config{Services: []rules.Service{{Name: "s", ColdTime: time.Second, ColdRate: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := newSimEntry(t)
+	mustAdopt(t, e, now, calls.Listing{Rules: r, Revision: 1, Upstreams: []roster.Upstream{
+		{Instance: "new", Service: "s", Address: "1", Born: now.Add(-time.Second / 2).UnixMilli()},
+		{Instance: "old", Service: "s", Address: "2", Born: now.Add(-2 * time.Second).UnixMilli()},
+		{Instance: "other", Service: "s", Address: "3", Born: now.Add(time.Minute).UnixMilli()},
+	}})
+	if d := cmp.Diff([]string{"new"}, coldNames(e.Proxy)); d != "" {
+		t.Errorf("cold by the first list (-want +got):\n%s", d)
+	}
+}
+
 // TestColdWordsOfUpstreams checks the other ways in which an entry learns that an upstream is cold, or warm.
 func TestColdWordsOfUpstreams(t *testing.T) {
 	for _, c := range []struct {
