proxy: why requests are sent once more, and when the configuration lags

A request's line has the reasons of its repeats and the version with which it was admitted, counters have repeats by service and reason, allowed or not, and an entry logs once when its configuration gets older than usual, with what the refresh said.

--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -103,10 +103,15 @@
 	parts int
 	// framing and end say how the upstream framed its answer and how reading it ended; empty
 	// if no answer was relayed.
-	framing       frame.Framing
-	end           frame.End
-	configVersion uint64
-	configAge     time.Duration
+	framing frame.Framing
+	end     frame.End
+	// configVersion and configAge are those of the configuration at the last check, admittedVersion that of the one with
+	// which the request was admitted.
+	configVersion   uint64
+	configAge       time.Duration
+	admittedVersion uint64
+	// repeats are the reasons why the request was sent once more.
+	repeats []string
 }
 
 // addPart records a part of the answer that arrived some time after the request.
@@ -212,7 +217,7 @@
 	for k, v := range map[string]string{
 		"cause": r.cause, "instance": r.instance, "upstream-version": r.upstreamVersion, "prefill": r.prefillInstance, "framing": string(r.framing), "end": string(r.end),
 		"protocol": x.unusualProtocol(), "resumes": x.call.Resumes, "last-event": x.call.LastEvent,
-		"parts": strings.Join(x.call.PromptParts, ","),
+		"parts": strings.Join(x.call.PromptParts, ","), "repeats": strings.Join(r.repeats, ","),
 	} {
 		if v != "" {
 			f[k] = v
@@ -229,6 +234,9 @@
 	if r.queued > 0 {
 		f["queued"], f["weight"] = r.queued, p.shareWeight(x)
 	}
+	if r.admittedVersion != r.configVersion {
+		f["admitted-version"] = r.admittedVersion
+	}
 	if r.localPrefill {
 		f["own-read"] = true
 	}
--- a/entry/proxy/metrics.go
+++ b/entry/proxy/metrics.go
@@ -23,6 +23,9 @@
 	slotWaits       *prometheus.CounterVec
 	outOfRegion     prometheus.Counter
 	resumed         *prometheus.CounterVec
+	repeats         *prometheus.CounterVec
+	budgetSpent     *prometheus.CounterVec
+	configAge       prometheus.Histogram
 	storeReads      prometheus.Counter
 	storeReadErrors prometheus.Counter
 	storeEpochs     prometheus.Counter
@@ -52,6 +55,9 @@
 		outOfRegion:     opsrv.Counter(r, "proxy_out_of_region_total", "Requests refused since no upstream was in a region that is allowed for them."),
 		resumed:         opsrv.Counters(r, "proxy_resumed_total", "Streams that callers took up again, by how it was found which version began them.", "origin"),
 		slotWaits:       opsrv.Counters(r, "proxy_slot_waits_total", "Plain requests that found the upstreams without room, by what became of their wait.", "end"),
+		repeats:         opsrv.Counters(r, "proxy_repeats_total", "Sends of requests beyond their first, and prefills that were refused or lost, by reason.", "service", "reason"),
+		budgetSpent:     opsrv.Counters(r, "proxy_budget_spent_total", "Repeats that the retry budget didn't allow, by reason.", "service", "reason"),
+		configAge:       opsrv.Latency(r, "proxy_config_age_seconds", "Age of the configuration with which requests were admitted."),
 		storeReads:      opsrv.Counter(r, "store_reads_total", "Reads of the store."),
 		entryListings:   opsrv.Counter(r, "store_learned_total", "Listings taken over from other entries."),
 		storeEpochs:     opsrv.Counter(r, "store_epochs_total", "New epochs of the store: it was restored from a copy."),
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -49,7 +49,7 @@
 			return
 		}
 		u, ok := p.pickUpstream(x, tried)
-		if !ok || !p.drawRetryBudget(x, x.attempts) {
+		if !ok || !p.drawRetryBudget(x, x.attempts, repeatRun) {
 			p.endSlot(x, false, nil, 0)
 			break
 		}
@@ -108,7 +108,7 @@
 		return false, refusalError(info)
 	}
 	x.mayHaveRun = true
-	if resp.Status >= http.StatusInternalServerError && p.mayRetry(x) && p.drawRetryBudget(x, x.attempts) {
+	if resp.Status >= http.StatusInternalServerError && p.mayRetry(x) && p.drawRetryBudget(x, x.attempts, repeatRun) {
 		return p.retryElsewhere(x, u, resp, info)
 	}
 	p.deliver(x, u, resp, info, "call", false)
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -107,7 +107,7 @@
 	if !ok {
 		return k
 	}
-	if !p.drawRetryBudget(x, x.prefillAttempts) {
+	if !p.drawRetryBudget(x, x.prefillAttempts, repeatPrefill) {
 		return k
 	}
 	x.record.prefillInstance = c.upstream.Instance
--- /dev/null
+++ b/entry/proxy/repeats.go
@@ -0,0 +1,74 @@
+package proxy
+
+import (
+	"time"
+
+	"cranberrypoint.example/coord/budget"
+	"cranberrypoint.example/coord/mesh"
+)
+
+// repeatReason says why a request is sent once more, in logs and metrics.
+type repeatReason string
+
+const (
+	// repeatRun is a run or a plain call after one that failed or was refused.
+	repeatRun repeatReason = "run"
+	// repeatWithoutCache is a run at the same engine, which had refused it since the KV cache was gone.
+	repeatWithoutCache repeatReason = "without-cache"
+	// repeatPrefill is a prefill after an earlier one of the request.
+	repeatPrefill repeatReason = "prefill"
+	// repeatRefusedPrefill is a first prefill that the engine refused.
+	repeatRefusedPrefill repeatReason = "refused-prefill"
+)
+
+// retryBudget returns the retry budget of a service. p.mu must be held.
+func (p *Proxy) retryBudget(service string) *budget.Budget {
+	b := p.retryBudgets[service]
+	if b == nil {
+		b = budget.New(p.settings.RetryBudget)
+		p.retryBudgets[service] = b
+	}
+	return b
+}
+
+// countRequest counts a request for the retry budget of its service.
+func (p *Proxy) countRequest(x *exchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retryBudget(x.service.Name).RecordRequest(time.Now())
+}
+
+// drawRetryBudget reports whether the retry budget allows another send, and counts it there if so.
+// earlier is the number of sends of the same kind, decodes, prefills or plain sends, that the
+// request has made so far; the first is always allowed and not counted.
+func (p *Proxy) drawRetryBudget(x *exchange, earlier int, why repeatReason) bool {
+	if earlier == 0 {
+		return true
+	}
+	entries := 1 + p.mesh.CountKnown(mesh.RoleEntry)
+	p.mu.Lock()
+	ok := p.retryBudget(x.service.Name).AllowRetry(time.Now(), entries)
+	p.mu.Unlock()
+	p.recordRepeat(x, why, ok)
+	return ok
+}
+
+// recordRepeat records in metrics and in the request's log line that it is sent once more, or why it isn't.
+func (p *Proxy) recordRepeat(x *exchange, why repeatReason, allowed bool) {
+	if !allowed {
+		p.metrics.budgetSpent.WithLabelValues(x.service.Name, string(why)).Inc()
+		x.record.repeats = append(x.record.repeats, "no "+string(why))
+		return
+	}
+	p.metrics.repeats.WithLabelValues(x.service.Name, string(why)).Inc()
+	x.record.repeats = append(x.record.repeats, string(why))
+}
+
+// recordRefusedPrefill counts a prefill that was refused against the retry budget, even if that is
+// used up.
+func (p *Proxy) recordRefusedPrefill(x *exchange) {
+	p.mu.Lock()
+	p.retryBudget(x.service.Name).RecordRetry(time.Now())
+	p.mu.Unlock()
+	p.recordRepeat(x, repeatRefusedPrefill, true)
+}
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -11,9 +11,7 @@
 	"strings"
 	"time"
 
-	"cranberrypoint.example/coord/budget"
 	"cranberrypoint.example/coord/fault"
-	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
@@ -87,6 +85,8 @@
 		return p.notReadyFault("no configuration is known yet")
 	}
 	x.record.configVersion, x.record.configAge = v.rules.Version(), v.age()
+	x.record.admittedVersion = v.rules.Version()
+	p.metrics.configAge.Observe(x.record.configAge.Seconds())
 	if p.clientConns.hasConflictingLength(x.r) {
 		x.w.Header().Set("Connection", "close")
 		return fault.NotRun(fault.BadRequest, "the request has a length and is chunked")
@@ -217,44 +217,6 @@
 	return p.notReadyFault("the route has moved to another service")
 }
 
-// retryBudget returns the retry budget of a service. p.mu must be held.
-func (p *Proxy) retryBudget(service string) *budget.Budget {
-	b := p.retryBudgets[service]
-	if b == nil {
-		b = budget.New(p.settings.RetryBudget)
-		p.retryBudgets[service] = b
-	}
-	return b
-}
-
-// countRequest counts a request for the retry budget of its service.
-func (p *Proxy) countRequest(x *exchange) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.retryBudget(x.service.Name).RecordRequest(time.Now())
-}
-
-// drawRetryBudget reports whether the retry budget allows another send, and counts it there if so.
-// earlier is the number of sends of the same kind, decodes, prefills or plain sends, that the
-// request has made so far; the first is always allowed and not counted.
-func (p *Proxy) drawRetryBudget(x *exchange, earlier int) bool {
-	if earlier == 0 {
-		return true
-	}
-	entries := 1 + p.mesh.CountKnown(mesh.RoleEntry)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.retryBudget(x.service.Name).AllowRetry(time.Now(), entries)
-}
-
-// recordRefusedPrefill counts a prefill that was refused against the retry budget, even if that is
-// used up.
-func (p *Proxy) recordRefusedPrefill(x *exchange) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.retryBudget(x.service.Name).RecordRetry(time.Now())
-}
-
 // overloadedFault returns the fault for a request that no upstream ran and that may be sent again
 // after retryAfter.
 func overloadedFault(retryAfter time.Duration, format string, args ...any) *fault.Error {
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -85,7 +85,7 @@
 		p.failContextDone(x, x.ctx.Err())
 		return true
 	}
-	if !p.drawRetryBudget(x, x.attempts) {
+	if !p.drawRetryBudget(x, x.attempts, repeatRun) {
 		x.kvCache.discard()
 		p.fail(x, overloadedFault(streamRetryAfter, "the retry budget is spent"))
 		return true
@@ -93,7 +93,7 @@
 	p.dropForeignKVCache(x)
 	source := x.kvCache.source
 	resp, info, err := p.sendDecode(x, res, source)
-	if err == nil && info.NotExecuted && source != "" && p.drawRetryBudget(x, x.attempts) {
+	if err == nil && info.NotExecuted && source != "" && p.drawRetryBudget(x, x.attempts, repeatWithoutCache) {
 		// The KV cache is gone, so the decode engine prefills the prompt itself.
 		_ = resp.Body.Close()
 		p.recordResult(x, res.candidate.upstream, picker.Refused, info.Load, "decode")
--- a/entry/proxy/watch.go
+++ b/entry/proxy/watch.go
@@ -40,9 +40,11 @@
 
 // pollConfig refreshes the snapshot until the entry ends.
 func (p *Proxy) pollConfig() {
-	t := pollTimer{}
+	t, l := pollTimer{}, refreshLag{}
 	for p.ctx.Err() == nil {
+		began := clock.Now()
 		err := p.refreshSnapshot()
+		p.logRefreshLag(&l, clock.Now().Sub(began), err)
 		select {
 		case <-time.After(t.pause(err == nil, p.snapshot.Load() != nil, rand.Float64())):
 		case <-p.ctx.Done():
