proxy: first prefills draw on the retry budget until they are accepted

Cause: a first prefill that an engine refuses is a repeat, since a run follows it, and it was counted only once it had been refused, without asking the budget. With all engines refusing, each stream made one. Change: a first prefill reserves one repeat and gives it back once the engine has accepted it, or if nothing follows. With the budget spent the run goes to its engine at once, which prefills there. A prefill whose answer is lost counts too, as it may not have been accepted.

--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -69,20 +69,25 @@
 	return true
 }
 
-// RecordRetry counts a retry without asking whether the budget allows it, and so also when
-// the budget is used up. It is for a send that counts as a retry because of its outcome.
-func (b *Budget) RecordRetry(now time.Time) {
+// Return gives back a retry that was allowed at a time, since the send turned out not to be one.
+func (b *Budget) Return(now, allowedAt time.Time) {
 	b.advance(now)
-	b.buckets[0].retries++
+	i := b.newestSlot - b.slot(allowedAt)
+	if i >= 0 && i <= bucketCount && b.buckets[i].retries > 0 {
+		b.buckets[i].retries--
+	}
 }
 
+// slot returns the number of the time slot that covers a time.
+func (b *Budget) slot(t time.Time) int64 { return t.UnixNano() / int64(b.config.Window/bucketCount) }
+
 // advance shifts the buckets so that the first one covers now.
 //
 // The newest bucket is only partly filled, so bucketCount buckets cover at most a window and
 // bucketCount+1 at least a window. AllowRetry sums the requests over bucketCount buckets and
 // the retries over all, so that it doesn't allow too many.
 func (b *Budget) advance(now time.Time) {
-	n := now.UnixNano() / int64(b.config.Window/bucketCount)
+	n := b.slot(now)
 	for d := min(n-b.newestSlot, bucketCount+1); d > 0; d-- {
 		copy(b.buckets[1:], b.buckets[:bucketCount])
 		b.buckets[0] = bucket{}
--- a/coord/budget/budget_test.go
+++ b/coord/budget/budget_test.go
@@ -5,6 +5,8 @@
 	"sort"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // startTime is an arbitrary time at which the tests start.
@@ -54,15 +56,18 @@
 	return until(end) - until(end.Add(-w))
 }
 
-func TestRecordedRetryUsesBudget(t *testing.T) {
+// TestReturnedRetryIsFree checks that a retry which is given back doesn't count, unless it has left the window by then, and
+// that the others do until the window has passed.
+func TestReturnedRetryIsFree(t *testing.T) {
 	b := New(Config{MinRetries: 2, Window: time.Second})
-	b.RecordRetry(startTime)
-	b.RecordRetry(startTime)
-	if b.AllowRetry(startTime, 1) {
-		t.Error("AllowRetry = true with the budget used up, want false")
-	}
-	if !b.AllowRetry(startTime.Add(2*time.Second), 1) {
-		t.Error("AllowRetry = false after the window has passed, want true")
+	allow := func(after time.Duration) bool { return b.AllowRetry(startTime.Add(after), 1) }
+	got := []bool{allow(0), allow(300 * time.Millisecond), allow(400 * time.Millisecond)}
+	b.Return(startTime.Add(500*time.Millisecond), startTime)
+	got = append(got, allow(500*time.Millisecond), allow(600*time.Millisecond))
+	b.Return(startTime.Add(2*time.Second), startTime.Add(300*time.Millisecond))
+	got = append(got, allow(2*time.Second), allow(2*time.Second), allow(2*time.Second))
+	if d := cmp.Diff([]bool{true, true, false, true, false, true, true, false}, got); d != "" {
+		t.Errorf("allowed (-want +got):\n%s", d)
 	}
 }
 
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -107,9 +107,11 @@
 	if !ok {
 		return k
 	}
-	if !p.drawRetryBudget(x, x.prefillAttempts, repeatPrefill) {
+	accepted, ok := p.drawPrefill(x)
+	if !ok {
 		return k
 	}
+	isFirst := x.prefillAttempts == 0
 	x.record.prefillInstance = c.upstream.Instance
 	release := p.trackPrefill(x, c)
 	defer release()
@@ -119,13 +121,23 @@
 		x.prefillAttempts++
 	}
 	if err != nil {
+		if !maybeSent(err) || x.ctx.Err() != nil {
+			// It didn't arrive, or nothing will follow it.
+			accepted()
+		} else if isFirst {
+			p.recordRepeat(x, repeatRefusedPrefill, true)
+		}
 		x.record.cause = "prefill: " + err.Error()
 		return k
 	}
 	h, ok := p.readHandle(x, c, resp, info)
 	if !ok {
+		if isFirst {
+			p.recordRepeat(x, repeatRefusedPrefill, true)
+		}
 		return k
 	}
+	accepted()
 	x.record.prefillTime = time.Since(began)
 	p.recordPrefill(c, backlog+x.call.PromptTokens, x.record.prefillTime)
 	k.source, k.holder = p.codec.KVSource(c.upstream.Address, h), c.upstream
@@ -147,7 +159,6 @@
 		p.recordResult(x, c.upstream, interruptedResult(x), info.Load, "prefill")
 	case info.NotExecuted || info.WrongInstance:
 		p.recordResult(x, c.upstream, refusalResult(info), info.Load, "prefill")
-		p.recordRefusedPrefill(x)
 	case resp.Status != http.StatusOK:
 		p.recordResult(x, c.upstream, picker.Failed, info.Load, "prefill")
 	default:
--- a/entry/proxy/repeats.go
+++ b/entry/proxy/repeats.go
@@ -17,7 +17,7 @@
 	repeatWithoutCache repeatReason = "without-cache"
 	// repeatPrefill is a prefill after an earlier one of the request.
 	repeatPrefill repeatReason = "prefill"
-	// repeatRefusedPrefill is a first prefill that the engine refused.
+	// repeatRefusedPrefill is a first prefill that the engine refused, or whose answer was lost.
 	repeatRefusedPrefill repeatReason = "refused-prefill"
 )
 
@@ -39,20 +39,44 @@
 }
 
 // drawRetryBudget reports whether the retry budget allows another send, and counts it there if so.
-// earlier is the number of sends of the same kind, decodes, prefills or plain sends, that the
+// earlier is the number of sends of the same kind, decodes or plain sends, that the
 // request has made so far; the first is always allowed and not counted.
 func (p *Proxy) drawRetryBudget(x *exchange, earlier int, why repeatReason) bool {
 	if earlier == 0 {
 		return true
 	}
-	entries := 1 + p.mesh.CountKnown(mesh.RoleEntry)
-	p.mu.Lock()
-	ok := p.retryBudget(x.service.Name).AllowRetry(time.Now(), entries)
-	p.mu.Unlock()
+	ok := p.allowRepeat(x, time.Now())
 	p.recordRepeat(x, why, ok)
 	return ok
 }
 
+// allowRepeat draws on the retry budget of the request's service.
+func (p *Proxy) allowRepeat(x *exchange, now time.Time) bool {
+	entries := 1 + p.mesh.CountKnown(mesh.RoleEntry)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryBudget(x.service.Name).AllowRetry(now, entries)
+}
+
+// drawPrefill reports whether the retry budget allows a prefill, and counts it there if so. The first one counts only if
+// the engine doesn't accept it, so accepted must be called once it has.
+//
+// It answers engines that refuse most prompts: each stream's prefill would be sent all the same, and be followed by a
+// run, which is then a repeat. With the budget spent, the run goes to its engine at once and prefills there.
+func (p *Proxy) drawPrefill(x *exchange) (accepted func(), ok bool) {
+	now, isFirst := time.Now(), x.prefillAttempts == 0
+	ok = p.allowRepeat(x, now)
+	if !isFirst || !ok {
+		p.recordRepeat(x, repeatPrefill, ok)
+		return func() {}, ok
+	}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.retryBudget(x.service.Name).Return(time.Now(), now)
+	}, true
+}
+
 // recordRepeat records in metrics and in the request's log line that it is sent once more, or why it isn't.
 func (p *Proxy) recordRepeat(x *exchange, why repeatReason, allowed bool) {
 	if !allowed {
@@ -63,12 +87,3 @@
 	p.metrics.repeats.WithLabelValues(x.service.Name, string(why)).Inc()
 	x.record.repeats = append(x.record.repeats, string(why))
 }
-
-// recordRefusedPrefill counts a prefill that was refused against the retry budget, even if that is
-// used up.
-func (p *Proxy) recordRefusedPrefill(x *exchange) {
-	p.mu.Lock()
-	p.retryBudget(x.service.Name).RecordRetry(time.Now())
-	p.mu.Unlock()
-	p.recordRepeat(x, repeatRefusedPrefill, true)
-}
