budget: a step of the time of day doesn't empty the window

Cause: the slots of the window were numbered by Unix time, so a step of the clock ahead made all retries older at once. Class: time of day used where a duration is meant; a search of the product for other uses (UnixNano, UnixMilli, Unix) found only identifiers and times of other machines. Change: the budget takes readings of package clock, so that a time of day doesn't compile there. That is the regression test too: no test can move the wall clock and not the steady one.

--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -7,9 +7,15 @@
 // The part of the budget that is proportional to an entry's own requests, Config.Ratio,
 // needs no coordination between entries; the fixed part, Config.MinRetries, is divided by
 // the number of entries.
+//
+// Time is passed in by the caller, as readings of a clock that no step of the time of day moves.
 package budget
 
-import "time"
+import (
+	"time"
+
+	"cranberrypoint.example/coord/clock"
+)
 
 // bucketCount is the number of buckets that a window is divided into.
 const bucketCount = 10
@@ -37,8 +43,8 @@
 	config Config
 	// buckets are ordered from the newest to the oldest.
 	buckets [bucketCount + 1]bucket
-	// newestSlot is the number of the time slot that the bucket at index 0 covers: the Unix
-	// time divided by the length of a bucket.
+	// newestSlot is the number of the time slot that the bucket at index 0 covers: the time
+	// divided by the length of a bucket.
 	newestSlot int64
 }
 
@@ -46,14 +52,14 @@
 func New(c Config) *Budget { return &Budget{config: c} }
 
 // RecordRequest counts a caller's request.
-func (b *Budget) RecordRequest(now time.Time) {
+func (b *Budget) RecordRequest(now clock.Instant) {
 	b.advance(now)
 	b.buckets[0].requests++
 }
 
 // AllowRetry reports whether a retry may be sent now, and counts it if so. MinRetries is
 // divided by entries, the number of entries that share it.
-func (b *Budget) AllowRetry(now time.Time, entries int) bool {
+func (b *Budget) AllowRetry(now clock.Instant, entries int) bool {
 	b.advance(now)
 	var requests, retries float64
 	for i, x := range b.buckets {
@@ -70,7 +76,7 @@
 }
 
 // Return gives back a retry that was allowed at a time, since the send turned out not to be one.
-func (b *Budget) Return(now, allowedAt time.Time) {
+func (b *Budget) Return(now, allowedAt clock.Instant) {
 	b.advance(now)
 	i := b.newestSlot - b.slot(allowedAt)
 	if i >= 0 && i <= bucketCount && b.buckets[i].retries > 0 {
@@ -79,14 +85,14 @@
 }
 
 // slot returns the number of the time slot that covers a time.
-func (b *Budget) slot(t time.Time) int64 { return t.UnixNano() / int64(b.config.Window/bucketCount) }
+func (b *Budget) slot(t clock.Instant) int64 { return int64(t) / int64(b.config.Window/bucketCount) }
 
 // advance shifts the buckets so that the first one covers now.
 //
 // The newest bucket is only partly filled, so bucketCount buckets cover at most a window and
 // bucketCount+1 at least a window. AllowRetry sums the requests over bucketCount buckets and
 // the retries over all, so that it doesn't allow too many.
-func (b *Budget) advance(now time.Time) {
+func (b *Budget) advance(now clock.Instant) {
 	n := b.slot(now)
 	for d := min(n-b.newestSlot, bucketCount+1); d > 0; d-- {
 		copy(b.buckets[1:], b.buckets[:bucketCount])
--- a/coord/budget/budget_test.go
+++ b/coord/budget/budget_test.go
@@ -6,11 +6,12 @@
 	"testing"
 	"time"
 
+	"cranberrypoint.example/coord/clock"
 	"github.com/google/go-cmp/cmp"
 )
 
 // startTime is an arbitrary time at which the tests start.
-var startTime = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+var startTime = clock.Instant(time.Hour)
 
 // TestRetriesStayWithinBudget sends random requests and retries through the budgets of
 // several entries and checks that the retries in any window stay within the fleet's
@@ -24,7 +25,7 @@
 		for i := range budgets {
 			budgets[i] = New(config)
 		}
-		var requests, retries []time.Time
+		var requests, retries []clock.Instant
 		now := startTime
 		for range 4000 {
 			now = now.Add(time.Duration(r.IntN(20)) * time.Millisecond)
@@ -51,8 +52,8 @@
 }
 
 // countWithin returns how many of the sorted times lie in the window w that ends at end.
-func countWithin(l []time.Time, end time.Time, w time.Duration) int {
-	until := func(t time.Time) int { return sort.Search(len(l), func(i int) bool { return l[i].After(t) }) }
+func countWithin(l []clock.Instant, end clock.Instant, w time.Duration) int {
+	until := func(t clock.Instant) int { return sort.Search(len(l), func(i int) bool { return t.Before(l[i]) }) }
 	return until(end) - until(end.Add(-w))
 }
 
--- a/entry/proxy/repeats.go
+++ b/entry/proxy/repeats.go
@@ -1,9 +1,8 @@
 package proxy
 
 import (
-	"time"
-
 	"cranberrypoint.example/coord/budget"
+	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/mesh"
 )
 
@@ -35,7 +34,7 @@
 func (p *Proxy) countRequest(x *exchange) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retryBudget(x.service.Name).RecordRequest(time.Now())
+	p.retryBudget(x.service.Name).RecordRequest(clock.Now())
 }
 
 // drawRetryBudget reports whether the retry budget allows another send, and counts it there if so.
@@ -45,13 +44,13 @@
 	if earlier == 0 {
 		return true
 	}
-	ok := p.allowRepeat(x, time.Now())
+	ok := p.allowRepeat(x, clock.Now())
 	p.recordRepeat(x, why, ok)
 	return ok
 }
 
 // allowRepeat draws on the retry budget of the request's service.
-func (p *Proxy) allowRepeat(x *exchange, now time.Time) bool {
+func (p *Proxy) allowRepeat(x *exchange, now clock.Instant) bool {
 	entries := 1 + p.mesh.CountKnown(mesh.RoleEntry)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -64,7 +63,7 @@
 // It answers engines that refuse most prompts: each stream's prefill would be sent all the same, and be followed by a
 // run, which is then a repeat. With the budget spent, the run goes to its engine at once and prefills there.
 func (p *Proxy) drawPrefill(x *exchange) (accepted func(), ok bool) {
-	now, isFirst := time.Now(), x.prefillAttempts == 0
+	now, isFirst := clock.Now(), x.prefillAttempts == 0
 	ok = p.allowRepeat(x, now)
 	if !isFirst || !ok {
 		p.recordRepeat(x, repeatPrefill, ok)
@@ -73,7 +72,7 @@
 	return func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.retryBudget(x.service.Name).Return(time.Now(), now)
+		p.retryBudget(x.service.Name).Return(clock.Now(), now)
 	}, true
 }
 
