budget: a process that starts doesn't spend its fixed retries anew

Cause: the budget is kept by each process. One that starts has forgotten what it sent, took its share of the fixed retries anew, and divided them by the few entries that it knew in its first second. Class: a fleet-wide allowance whose spending dies with the process. Change: an entry uses half of its share, a quarter (one retry at most) within a window of its start; the fleet is counted with the entries that are remembered over partitions. That leaves room for two restarts of all entries in a window; a third within it isn't covered. TestMinRetriesAreDividedByEntries and TestReturnedRetryIsFree ask for twice the retries, since an entry uses half of its share; they check the same counts as before.

--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -8,6 +8,11 @@
 // needs no coordination between entries; the fixed part, Config.MinRetries, is divided by
 // the number of entries.
 //
+// A process that starts has forgotten what it sent before. An entry therefore uses only a part of its share of
+// MinRetries, and a smaller one while an earlier run of it may have sent retries in the same window. The parts leave
+// room for two restarts of all entries within a window. An entry that has just started may also know few others, so
+// until then it makes at most one retry on its share.
+//
 // Time is passed in by the caller, as readings of a clock that no step of the time of day moves.
 package budget
 
@@ -17,8 +22,14 @@
 	"cranberrypoint.example/coord/clock"
 )
 
-// bucketCount is the number of buckets that a window is divided into.
-const bucketCount = 10
+const (
+	// bucketCount is the number of buckets that a window is divided into.
+	bucketCount = 10
+	// usualPart is the part of its share of MinRetries that an entry uses, and startPart the one that it uses within
+	// a window of its start.
+	usualPart = 0.5
+	startPart = 0.25
+)
 
 // Config limits the retries to a service within any window.
 type Config struct {
@@ -46,10 +57,14 @@
 	// newestSlot is the number of the time slot that the bucket at index 0 covers: the time
 	// divided by the length of a bucket.
 	newestSlot int64
+	// startEnds is when an earlier run of the process can no longer have sent retries in the window.
+	startEnds clock.Instant
 }
 
-// New returns an unused budget.
-func New(c Config) *Budget { return &Budget{config: c} }
+// New returns an unused budget of a process that started at a time.
+func New(c Config, processStart clock.Instant) *Budget {
+	return &Budget{config: c, startEnds: processStart.Add(c.Window)}
+}
 
 // RecordRequest counts a caller's request.
 func (b *Budget) RecordRequest(now clock.Instant) {
@@ -68,13 +83,22 @@
 			requests += x.requests
 		}
 	}
-	if retries+1 > b.config.Ratio*requests+b.config.MinRetries/float64(max(1, entries)) {
+	if retries+1 > b.config.Ratio*requests+b.share(now, entries) {
 		return false
 	}
 	b.buckets[0].retries++
 	return true
 }
 
+// share returns how many retries of MinRetries an entry may make in a window.
+func (b *Budget) share(now clock.Instant, entries int) float64 {
+	s := b.config.MinRetries / float64(max(1, entries))
+	if now.Before(b.startEnds) {
+		return min(1, startPart*s)
+	}
+	return usualPart * s
+}
+
 // Return gives back a retry that was allowed at a time, since the send turned out not to be one.
 func (b *Budget) Return(now, allowedAt clock.Instant) {
 	b.advance(now)
--- a/coord/budget/budget_test.go
+++ b/coord/budget/budget_test.go
@@ -23,7 +23,7 @@
 		entries := 1 + r.IntN(5)
 		budgets := make([]*Budget, entries)
 		for i := range budgets {
-			budgets[i] = New(config)
+			budgets[i] = New(config, startTime)
 		}
 		var requests, retries []clock.Instant
 		now := startTime
@@ -60,7 +60,7 @@
 // TestReturnedRetryIsFree checks that a retry which is given back doesn't count, unless it has left the window by then, and
 // that the others do until the window has passed.
 func TestReturnedRetryIsFree(t *testing.T) {
-	b := New(Config{MinRetries: 2, Window: time.Second})
+	b := New(Config{MinRetries: 4, Window: time.Second}, startTime.Add(-time.Minute))
 	allow := func(after time.Duration) bool { return b.AllowRetry(startTime.Add(after), 1) }
 	got := []bool{allow(0), allow(300 * time.Millisecond), allow(400 * time.Millisecond)}
 	b.Return(startTime.Add(500*time.Millisecond), startTime)
@@ -73,12 +73,59 @@
 }
 
 func TestMinRetriesAreDividedByEntries(t *testing.T) {
-	b := New(Config{MinRetries: 10, Window: time.Second})
+	b := New(Config{MinRetries: 20, Window: time.Second}, startTime.Add(-time.Minute))
 	n := 0
 	for b.AllowRetry(startTime, 5) {
 		n++
 	}
 	if n != 2 {
-		t.Errorf("one of 5 entries was allowed %d of 10 retries, want 2", n)
+		t.Errorf("one of 5 entries was allowed %d of 20 retries, want 2, half of its share", n)
+	}
+}
+
+// TestBudgetHoldsOverRestarts guards against a budget that is spent anew by each run of a process: all entries are killed twice
+// within a window, all want to retry as often as they may, and know only one other entry for a second after their start.
+func TestBudgetHoldsOverRestarts(t *testing.T) {
+	config := Config{Ratio: 0.2, MinRetries: 98, Window: 10 * time.Second}
+	const entries = 29
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		budgets, startedAt := make([]*Budget, entries), make([]clock.Instant, entries)
+		for i := range budgets {
+			startedAt[i] = startTime
+			budgets[i] = New(config, startTime)
+		}
+		begin := startTime.Add(config.Window)
+		kills := []clock.Instant{begin.Add(time.Duration(r.Int64N(int64(4 * time.Second)))), begin.Add(time.Duration(r.Int64N(int64(9 * time.Second))))}
+		var requests, retries []clock.Instant
+		for now := startTime; now.Before(begin.Add(config.Window)); now = now.Add(time.Millisecond) {
+			for _, k := range kills {
+				if !now.Before(k) && now.Sub(k) < time.Millisecond {
+					for i := range budgets {
+						startedAt[i], budgets[i] = now, New(config, now)
+					}
+				}
+			}
+			i := r.IntN(entries)
+			if r.IntN(25) == 0 {
+				budgets[i].RecordRequest(now)
+				requests = append(requests, now)
+			}
+			known := entries
+			if now.Sub(startedAt[i]) < time.Second {
+				known = 2
+			}
+			if budgets[i].AllowRetry(now, known) {
+				retries = append(retries, now)
+			}
+		}
+		for _, end := range retries {
+			made := countWithin(retries, end, config.Window)
+			n := max(countWithin(requests, end, config.Window), countWithin(requests, end.Add(-config.Window/2), config.Window),
+				countWithin(requests, end.Add(-config.Window), config.Window))
+			if allowed := config.Ratio*float64(n) + config.MinRetries; float64(made) > allowed {
+				t.Fatalf("seed %d: %d retries in a window, want at most %.1f", seed, made, allowed)
+			}
+		}
 	}
 }
--- a/coord/pacer/fleet.go
+++ b/coord/pacer/fleet.go
@@ -127,3 +127,10 @@
 	defer f.mu.Unlock()
 	return !f.since.IsZero() && now.Sub(f.since) >= settleTime && now.Sub(f.observedAt) <= maxViewAge
 }
+
+// CountOthers returns how many other processes are remembered, those included that were last heard long ago.
+func (f *Fleet) CountOthers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.lastHeard)
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"cranberrypoint.example/coord/assign"
 	"cranberrypoint.example/coord/budget"
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/cost"
 	"cranberrypoint.example/coord/digest"
 	"cranberrypoint.example/coord/evac"
@@ -106,6 +107,8 @@
 	ctx       context.Context
 	tasks     tasks.Group
 	startedAt time.Time
+	// startInstant is startedAt on the clock that counts suspensions.
+	startInstant clock.Instant
 
 	snapshot atomic.Pointer[snapshot]
 	// regions holds the region of each data centre.
@@ -215,6 +218,7 @@
 		links:             links,
 		ctx:               ctx,
 		startedAt:         now,
+		startInstant:      clock.Now(),
 		roster:            roster.New(rosterOptions(s)...),
 		upstreams:         digest.New(),
 		picker:            picker.New(s.DataCentre, uint64(now.UnixNano())),
--- a/entry/proxy/repeats.go
+++ b/entry/proxy/repeats.go
@@ -24,7 +24,7 @@
 func (p *Proxy) retryBudget(service string) *budget.Budget {
 	b := p.retryBudgets[service]
 	if b == nil {
-		b = budget.New(p.settings.RetryBudget)
+		b = budget.New(p.settings.RetryBudget, p.startInstant)
 		p.retryBudgets[service] = b
 	}
 	return b
@@ -51,7 +51,7 @@
 
 // allowRepeat draws on the retry budget of the request's service.
 func (p *Proxy) allowRepeat(x *exchange, now clock.Instant) bool {
-	entries := 1 + p.mesh.CountKnown(mesh.RoleEntry)
+	entries := 1 + max(p.mesh.CountKnown(mesh.RoleEntry), p.fleet.CountOthers())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.retryBudget(x.service.Name).AllowRetry(now, entries)
