origin: a stream goes on without a note only if all versions were seen

Cause: without a note of the stream, an entry let it go on if it knew a single version; what it and the members that it asked had seen counted from their own start, so after the kill nobody had seen the version that had just left. Class: absence of evidence taken for evidence of absence after a restart. Change: a history says for how long it has seen all versions, and a stream without a note goes on only if someone has for as long as the stream may have lasted. Entries tell agents the versions with gossip, so these know them over a kill of all entries. Notes are held by agents and entries in turn. The log has the versions and the time. What callers pay: on a fleet without agents, streams without a note are refused (503, with Retry-After where it may pass) for the longest time of a stream after a kill of all entries.

--- a/agent/grants/grants.go
+++ b/agent/grants/grants.go
@@ -54,7 +54,9 @@
 	engine   *admit.Manager
 	// origins holds where streams began, for entries, which may be killed together.
 	origins *origin.Table
-	tasks   tasks.Group
+	// versions are those of all upstreams, as entries say.
+	versions *origin.History
+	tasks    tasks.Group
 	// startedAt is the agent's incarnation: in milliseconds in its membership record, in
 	// nanoseconds in its status.
 	startedAt time.Time
@@ -80,7 +82,7 @@
 	conns, closeConns := upconn.NewPool(nil)
 	registry := opsrv.NewRegistry()
 	rumors := rumor.New()
-	e = &EngineAgent{settings: s, startedAt: now, origins: origin.NewTable(), evac: rumors.Evac}
+	e = &EngineAgent{settings: s, startedAt: now, origins: origin.NewTable(), versions: rumors.Versions, evac: rumors.Evac}
 	self := &wire.Member{
 		Name:        s.VM,
 		Role:        mesh.RoleAgent,
@@ -176,7 +178,7 @@
 
 // FindOrigin tells where a stream began.
 func (e *EngineAgent) FindOrigin(_ context.Context, q *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
-	return e.origins.HandleFind(q), nil
+	return e.origins.HandleFind(time.Now(), q, e.versions), nil
 }
 
 // Hold reserves a place at the engine; see admit.Manager.
--- a/coord/origin/history.go
+++ b/coord/origin/history.go
@@ -5,11 +5,24 @@
 	"slices"
 	"sync"
 	"time"
+
+	"cranberrypoint.example/coord/wire"
 )
 
-// History holds when upstreams of each version were last listed. Use NewHistory.
+// maxObserveGap is the longest time between two views of all upstreams that may hide no version: one that starts, serves
+// and drains takes longer. It is longer than a kill of all entries, in which no stream begins.
+const maxObserveGap = 8 * time.Second
+
+// currentTime is how long after its last sight a version counts as one of those that serve.
+const currentTime = 2 * time.Second
+
+// History holds when upstreams of each version were last listed, and since when the process has seen all of them. A process
+// that has started has seen none of those that had left by then. Use NewHistory.
 type History struct {
 	mu sync.Mutex
+	// observedSince and lastObserved bound the time in which the process has seen all versions; zero for none.
+	observedSince time.Time
+	lastObserved  time.Time
 	// lastSeen is by service and version.
 	lastSeen map[string]map[string]time.Time
 }
@@ -30,6 +43,58 @@
 	maps.DeleteFunc(m, func(_ string, t time.Time) bool { return now.Sub(t) > noteTime })
 }
 
+// Observe records that all upstreams are known at a time.
+func (h *History) Observe(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.lastObserved) > maxObserveGap {
+		h.observedSince = now
+	}
+	h.lastObserved = now
+}
+
+// Observed returns for how long back from now all versions have been seen; 0 for none.
+func (h *History) Observed(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lastObserved.IsZero() || now.Sub(h.lastObserved) > maxObserveGap {
+		return 0
+	}
+	return now.Sub(h.observedSince)
+}
+
+// Report returns the versions that serve now, for members that don't see lists themselves; nil if that isn't known. The
+// first one is empty: it says that the list is whole, also if upstreams state no version.
+func (h *History) Report(now time.Time) (l []*wire.ServiceVersion) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.lastObserved) > currentTime {
+		return nil
+	}
+	l = append(l, &wire.ServiceVersion{})
+	for s, m := range h.lastSeen {
+		for v, seen := range m {
+			if now.Sub(seen) <= currentTime {
+				l = append(l, &wire.ServiceVersion{Service: s, Version: v})
+			}
+		}
+	}
+	return l
+}
+
+// Merge records what an entry reports.
+func (h *History) Merge(now time.Time, l []*wire.ServiceVersion) {
+	if len(l) == 0 {
+		return
+	}
+	for _, v := range l {
+		if v.Version != "" {
+			h.See(now, Origin{v.Service, v.Version})
+		}
+	}
+	h.Observe(now)
+}
+
 // Since returns the versions of a service that were listed at a time or later, sorted.
 func (h *History) Since(t time.Time, service string) (versions []string) {
 	h.mu.Lock()
--- a/coord/origin/origin.go
+++ b/coord/origin/origin.go
@@ -3,9 +3,11 @@
 // It answers callers who take up a stream that has broken off, at any entry, while upstreams of several software
 // versions serve side by side. What two versions write doesn't fit together, and no upstream checks that. The
 // break may have been the end of the very entry that began the stream, so each stream is noted at a few other members of the
-// mesh too, which rank first for its request by rendezvous hashing. A note is soft state: it is sent once, isn't
+// mesh too, which rank first for its request by rendezvous hashing: agents and entries in turn, since all entries may end at
+// once. A note is soft state: it is sent once, isn't
 // repaired, and is dropped after some minutes. If no note is found, a stream goes on only if its service has had a
-// single version for as long as the stream may have lasted; otherwise it is refused.
+// single version for as long as the stream may have lasted, which only a member can say that has seen all versions
+// for so long; otherwise it is refused.
 //
 // Table and History are safe for concurrent use and do no I/O; the caller passes the time.
 package origin
@@ -70,22 +72,45 @@
 	}
 }
 
-// HandleFind returns the answer to another member, without what it has seen of versions.
-func (t *Table) HandleFind(q *wire.FindOriginRequest) *wire.FindOriginReply {
-	o, ok := t.Find(q.Request)
-	if !ok {
-		return &wire.FindOriginReply{}
+// HandleFind returns the answer to another member, with what the history holds of versions.
+func (t *Table) HandleFind(now time.Time, q *wire.FindOriginRequest, h *History) *wire.FindOriginReply {
+	r := &wire.FindOriginReply{
+		Seen:           h.Since(now.Add(-time.Duration(q.WithinMicros)*time.Microsecond), q.Service),
+		ObservedMicros: h.Observed(now).Microseconds(),
 	}
-	return &wire.FindOriginReply{Origin: &wire.StreamOrigin{Request: q.Request, Service: o.Service, Version: o.Version}}
+	if o, ok := t.Find(q.Request); ok {
+		r.Origin = &wire.StreamOrigin{Request: q.Request, Service: o.Service, Version: o.Version}
+	}
+	return r
+}
+
+// Rank returns the members that note a request, in the order in which they are sent the note or asked for it. The kinds of
+// members, which may fail together, take turns, so that two kinds hold notes wherever there are two.
+func Rank(request string, kinds ...[]*wire.Member) (l []*wire.Member) {
+	ranked := make([][]*wire.Member, len(kinds))
+	for i, k := range kinds {
+		ranked[i] = rankKind(request, k)
+	}
+	for n := 0; len(l) < Asked; n++ {
+		hasMore := false
+		for _, k := range ranked {
+			if n < len(k) {
+				l, hasMore = append(l, k[n]), true
+			}
+		}
+		if !hasMore {
+			return l
+		}
+	}
+	return l[:Asked]
 }
 
-// Rank returns the members that note a request, in the order in which they are sent the note or asked for it.
-func Rank(request string, members []*wire.Member) []*wire.Member {
+// rankKind ranks members by rendezvous hashing.
+func rankKind(request string, members []*wire.Member) (l []*wire.Member) {
 	byName := map[string]*wire.Member{}
 	for _, m := range members {
 		byName[m.Name] = m
 	}
-	var l []*wire.Member
 	for _, n := range rank.Top(request, slices.Collect(maps.Keys(byName)), Asked) {
 		l = append(l, byName[n])
 	}
--- a/coord/origin/origin_test.go
+++ b/coord/origin/origin_test.go
@@ -20,7 +20,7 @@
 	for q, want := range map[string]*wire.StreamOrigin{
 		"r": {Request: "r", Service: "s", Version: "v1"}, "other": nil, "no-version": nil,
 	} {
-		if got := a.HandleFind(&wire.FindOriginRequest{Request: q}).Origin; got.String() != want.String() {
+		if got := a.HandleFind(start, &wire.FindOriginRequest{Request: q}, NewHistory()).Origin; got.String() != want.String() {
 			t.Errorf("origin of %s: %v, want %v", q, got, want)
 		}
 	}
@@ -66,3 +66,52 @@
 		t.Errorf("versions after a long time (-want +got):\n%s", d)
 	}
 }
+
+// TestObservedSince checks for how long a history holds all versions: from its first view on, unless it missed some time.
+func TestObservedSince(t *testing.T) {
+	h := NewHistory()
+	got := []time.Duration{h.Observed(start)}
+	for _, at := range []time.Duration{0, time.Second, time.Second + maxObserveGap, 3 + time.Second + 2*maxObserveGap} {
+		h.Observe(start.Add(at))
+		got = append(got, h.Observed(start.Add(at)))
+	}
+	got = append(got, h.Observed(start.Add(4*time.Second+3*maxObserveGap)))
+	if d := cmp.Diff([]time.Duration{0, 0, time.Second, time.Second + maxObserveGap, 0, 0}, got); d != "" {
+		t.Errorf("observed (-want +got):\n%s", d)
+	}
+}
+
+// TestVersionsAreReported checks that a member without lists learns from reports which versions there are, and that a report
+// says so also where upstreams state none.
+func TestVersionsAreReported(t *testing.T) {
+	entry, agent := NewHistory(), NewHistory()
+	agent.Merge(start, entry.Report(start))
+	got := []bool{agent.Observed(start) > 0 || !agent.lastObserved.IsZero()}
+	entry.See(start, Origin{"s", "v1"})
+	entry.Observe(start)
+	agent.Merge(start, entry.Report(start))
+	agent.Merge(start.Add(time.Second), entry.Report(start.Add(time.Second)))
+	agent.Merge(start.Add(2*currentTime), entry.Report(start.Add(2*currentTime)))
+	got = append(got, agent.Observed(start.Add(time.Second)) == time.Second, agent.lastObserved.Equal(start.Add(time.Second)))
+	if d := cmp.Diff([]bool{false, true, true}, got); d != "" {
+		t.Errorf("observed (-want +got):\n%s", d)
+	}
+	if d := cmp.Diff([]string{"v1"}, agent.Since(start, "s")); d != "" {
+		t.Errorf("versions (-want +got):\n%s", d)
+	}
+}
+
+// TestKindsTakeTurns checks that notes are held by members of both kinds.
+func TestKindsTakeTurns(t *testing.T) {
+	agents, entries := members(0, 3), members(10, 50)
+	for i := range 50 {
+		l := Rank(fmt.Sprint(i), agents, entries)
+		var isAgent []bool
+		for _, m := range l {
+			isAgent = append(isAgent, slices.Contains(agents, m))
+		}
+		if d := cmp.Diff([]bool{true, false, true, false, true, false}, isAgent); d != "" {
+			t.Fatalf("agents among the holders (-want +got):\n%s", d)
+		}
+	}
+}
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -110,6 +110,10 @@
 	configVersion   uint64
 	configAge       time.Duration
 	admittedVersion uint64
+	// originVersions are the versions that may have begun a resumed stream of which there is no note, and originObserved for
+	// how long somebody has seen all versions.
+	originVersions []string
+	originObserved time.Duration
 	// repeats are the reasons why the request was sent once more.
 	repeats []string
 }
@@ -218,12 +222,13 @@
 		"cause": r.cause, "instance": r.instance, "upstream-version": r.upstreamVersion, "prefill": r.prefillInstance, "framing": string(r.framing), "end": string(r.end),
 		"protocol": x.unusualProtocol(), "resumes": x.call.Resumes, "last-event": x.call.LastEvent,
 		"parts": strings.Join(x.call.PromptParts, ","), "repeats": strings.Join(r.repeats, ","),
+		"origin-versions": strings.Join(r.originVersions, ","),
 	} {
 		if v != "" {
 			f[k] = v
 		}
 	}
-	for k, v := range map[string]time.Duration{"slack-ms": r.reservationSlack, "waited-ms": r.waited, "read-ms": r.prefillTime, "first-ms": r.firstEvent, "pause-ms": r.longestPause} {
+	for k, v := range map[string]time.Duration{"slack-ms": r.reservationSlack, "waited-ms": r.waited, "read-ms": r.prefillTime, "first-ms": r.firstEvent, "pause-ms": r.longestPause, "origin-observed-ms": r.originObserved} {
 		if v != 0 {
 			f[k] = v.Milliseconds()
 		}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -262,7 +262,7 @@
 		Incarnation: now.UnixMilli(),
 	}
 	p.mesh = mesh.New(self, s.Seeds, links, s.Log, mesh.WithBeforeHeartbeat(p.updateSelf),
-		mesh.WithAfterHeartbeat(p.afterHeartbeat), mesh.WithRumors(rumor.Rumors{Poison: p.poison, Pacer: p.pacer, Evac: p.evac, ReadsStore: true}))
+		mesh.WithAfterHeartbeat(p.afterHeartbeat), mesh.WithRumors(rumor.Rumors{Poison: p.poison, Pacer: p.pacer, Evac: p.evac, Versions: p.versions, ReadsStore: true}))
 	stopMesh := p.mesh.Start()
 	var stopOps []func()
 	for _, l := range listeners[2:] {
--- a/entry/proxy/resume.go
+++ b/entry/proxy/resume.go
@@ -93,11 +93,13 @@
 	versions := append(a.seen, p.versionsWithin(x.streamTime(), x.service.Name)...)
 	slices.Sort(versions)
 	versions = slices.Compact(versions)
-	if len(versions) <= 1 && len(x.route.Destinations) == 1 {
+	observed := max(a.observed, p.versions.Observed(time.Now()))
+	x.record.originVersions, x.record.originObserved = versions, observed
+	if len(versions) <= 1 && len(x.route.Destinations) == 1 && observed >= x.streamTime() {
 		return origin.Origin{Service: x.service.Name, Version: strings.Join(versions, "")}, originSingle, nil
 	}
-	e = fault.NotRun(fault.StreamUnknown, "it isn't known which version of the upstream began the stream; versions are %v", versions)
-	if a.silent > 0 {
+	e = fault.NotRun(fault.StreamUnknown, "it isn't known which version of the upstream began the stream; versions are %v, seen for %v", versions, observed)
+	if a.silent > 0 || len(versions) <= 1 {
 		e = e.WithRetryAt(time.Now().Add(findOriginRetryAfter))
 	}
 	return o, originUnknown, e
@@ -125,15 +127,15 @@
 	found  bool
 	// seen are versions that the service's upstreams have had while the stream may have lasted.
 	seen []string
+	// observed is for how long one of them has seen all versions.
+	observed time.Duration
 	// silent is the number of members that didn't answer.
 	silent int
 }
 
-// askOrigin asks the members that may have noted where a stream began, all at once.
+// askOrigin asks the members that may have noted where a stream began, all at once. They also say which versions there
+// were.
 func (p *Proxy) askOrigin(x *exchange) (a originAnswer) {
-	if x.call.Resumes == "" {
-		return a
-	}
 	ctx, cancel := context.WithTimeout(x.ctx, findOriginTimeout)
 	defer cancel()
 	q := &wire.FindOriginRequest{Request: x.call.Resumes, Service: x.service.Name, WithinMicros: x.streamTime().Microseconds()}
@@ -159,13 +161,14 @@
 			return a
 		}
 		a.seen = append(a.seen, r.GetSeen()...)
+		a.observed = max(a.observed, micros(r.GetObservedMicros()))
 	}
 	return a
 }
 
 // originMembers returns the other members that note where the stream of a request began, in order.
 func (p *Proxy) originMembers(request string) []*wire.Member {
-	return origin.Rank(request, append(p.mesh.Live(mesh.RoleEntry), p.mesh.Live(mesh.RoleAgent)...))
+	return origin.Rank(request, p.mesh.Live(mesh.RoleAgent), p.mesh.Live(mesh.RoleEntry))
 }
 
 // noteOrigin lets this entry and a few other members remember where a stream began whose answer begins now.
@@ -226,9 +229,11 @@
 
 // FindOrigin tells another entry where a stream began, and which versions this entry has seen.
 func (p *Proxy) FindOrigin(_ context.Context, q *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
-	r := p.origins.HandleFind(q)
-	r.Seen = p.versionsWithin(micros(q.WithinMicros), q.Service)
-	return r, nil
+	now := time.Now()
+	p.mu.Lock()
+	p.seeVersions(now)
+	p.mu.Unlock()
+	return p.origins.HandleFind(now, q, p.versions), nil
 }
 
 // versionsWithin returns the versions that upstreams of a service have had within a time up to now. The list that is in
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -135,6 +135,7 @@
 		p.learnCold(now, r, l, now.before(readAt), old == nil)
 		p.upstreams.Set(p.roster.Listed())
 		p.seeVersions(now.time)
+		p.versions.Observe(now.time)
 		if !l.LacksEvacuated {
 			p.updateEvacuations(now, l, readAt)
 			n.evacuationsReadAt = readAt
