proxy: a request goes to the same upstream again only on a new connection

What callers saw, on another operator's system: 'not run, try again' for requests that an upstream had run or was running (REFUSED), or such a request ran at a second one (TWICE). Cause: a faulty upstream wrote an earlier refusal once more on a kept connection. Responses name their request, not the send, and a refused request may go to the same upstream again: after a wait for a slot, without the KV cache, or for the other stage. The copy was then taken for the answer to the second send. Class: a retry that can't be told from the first try by its answer. Change: a request remembers the addresses that it may have reached, and is sent there again only on a new connection, for which an idle one makes room. Cost: a dial for each such repeat. Ruled out: copies for other requests (TestSecondCopyIsNoAnswerToNextRequest, TestLateCopyReachesNoOtherCaller pass before and after), and the other door, which opens a connection for each call.

--- a/coord/upconn/late_test.go
+++ b/coord/upconn/late_test.go
@@ -94,3 +94,28 @@
 		t.Errorf("answer after a control call (-want +got):\n%s", d)
 	}
 }
+
+// TestRetryNeedsNewConnection checks that a request that was sent to an address before isn't sent on a connection that is
+// idle, and that one makes room for it where the upstream takes no more.
+func TestRetryNeedsNewConnection(t *testing.T) {
+	address, stop, err := fake.Repeater(func(q *http.Request) string { return okResponse(q.Header.Get("Id"), q.Header.Get("Id")) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	dials := 0
+	p, closePool := NewPool(func() { dials++ })
+	defer closePool()
+	var got []int
+	for _, newConn := range []bool{false, false, true, true} {
+		q := namedRequest("1")
+		q.NewConn, q.MaxConns = newConn, 2
+		if s, b := status(t, p, address, q); s != http.StatusOK {
+			t.Errorf("status %d %s", s, b)
+		}
+		got = append(got, dials)
+	}
+	if d := cmp.Diff([]int{1, 1, 2, 3}, got); d != "" {
+		t.Errorf("dials (-want +got):\n%s", d)
+	}
+}
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -71,6 +71,9 @@
 	// whose responses state no id need a group of their own, so that a late copy never answers another kind of
 	// request.
 	Group string
+	// NewConn is true if the request has been sent to the address before. Responses name the request, not the send, so
+	// a late copy of the earlier response would be taken for the new one on a connection that is reused.
+	NewConn bool
 }
 
 // Response is an upstream's response. Body must be closed. Closing it before its end closes
@@ -203,12 +206,25 @@
 	return true
 }
 
-// get returns an idle connection or dials a new one.
-func (p *Pool) get(ctx context.Context, k idleKey, maxConns int) (*conn, error) {
-	if c := p.takeIdle(k); c != nil {
-		return c, nil
+// get returns an idle connection, unless the request needs a new one, or dials.
+func (p *Pool) get(ctx context.Context, k idleKey, q *Request) (*conn, error) {
+	if !q.NewConn {
+		if c := p.takeIdle(k); c != nil {
+			return c, nil
+		}
+		return p.dial(ctx, k.address, q.MaxConns)
+	}
+	c, err := p.dial(ctx, k.address, q.MaxConns)
+	if !errors.Is(err, ErrMaxConns) {
+		return c, err
+	}
+	// An idle connection makes room.
+	idle := p.takeIdle(k)
+	if idle == nil {
+		return nil, err
 	}
-	return p.dial(ctx, k.address, maxConns)
+	_ = idle.Close()
+	return p.dial(ctx, k.address, q.MaxConns)
 }
 
 // dial opens a new connection.
@@ -254,7 +270,7 @@
 // Do sends a request to an address and returns the head of its response. Its errors are of
 // type *Error. When the context ends, the connection is closed, also while the body is read.
 func (p *Pool) Do(ctx context.Context, address string, q *Request) (r *Response, err error) {
-	c, err := p.get(ctx, idleKey{address, q.Group}, q.MaxConns)
+	c, err := p.get(ctx, idleKey{address, q.Group}, q)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -15,6 +15,7 @@
 	"cranberrypoint.example/coord/origin"
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/region"
+	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"github.com/sirupsen/logrus"
 )
@@ -59,6 +60,8 @@
 	// attempts and prefillAttempts count the sends that may have reached an upstream.
 	attempts        int
 	prefillAttempts int
+	// sentTo holds the addresses of the upstreams that the request may have reached, whatever for.
+	sentTo map[string]bool
 	// mayHaveRun is true once an upstream may have run the request.
 	mayHaveRun bool
 	// answered is true once the head of an answer was written.
@@ -140,6 +143,14 @@
 	outcomeCallerLeft = "caller-left"
 )
 
+// recordSent records that the request may have reached an upstream.
+func (x *exchange) recordSent(u roster.Upstream) {
+	if x.sentTo == nil {
+		x.sentTo = map[string]bool{}
+	}
+	x.sentTo[u.Address] = true
+}
+
 func (x *exchange) timeLeft() time.Duration { return time.Until(x.deadline) }
 
 func (x *exchange) kind() string {
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -62,6 +62,7 @@
 	}
 	p.mu.Unlock()
 	resp, err := p.conns.Do(ctx, u.Address, &upconn.Request{
+		NewConn:            x.sentTo[u.Address],
 		Method:             x.r.Method,
 		Target:             x.r.RequestURI,
 		Host:               x.r.Host,
@@ -74,6 +75,9 @@
 		Matches:            func(status int, h http.Header) bool { return p.codec.Matches(status, h, x.call.ID) },
 		HasRequestID:       func(h http.Header) bool { return p.codec.Matches(http.StatusOK, h, x.call.ID) },
 	})
+	if err == nil || maybeSent(err) {
+		x.recordSent(u)
+	}
 	if err != nil {
 		if !maybeSent(err) {
 			p.pacer.Return(time.Now(), u.Instance)
