proxy: a listing of a later revision counts, whatever its age; weightless destinations get nothing

A listing from another entry whose age, which is rounded up by the time of the call, put it before this entry's own last read was ignored, although its revision was later: a confirmed change was received and waited for another refresh (up to 0.45 s). Within an epoch the store's revisions are linear, so the position decides; the instant from which the configuration is known doesn't go back. The other half: a request that was admitted for a service, or a stream that began there, could be sent there while the newest configuration gave that destination no weight. Not shown to be the cause of the users' report.

--- a/coord/rules/rules.go
+++ b/coord/rules/rules.go
@@ -244,9 +244,9 @@
 	return ""
 }
 
-// Serves reports whether the route leads to a service.
+// Serves reports whether the route leads to a service. A destination without a weight gets nothing.
 func (t *Route) Serves(service string) bool {
-	return slices.ContainsFunc(t.Destinations, func(d Destination) bool { return d.Service == service })
+	return slices.ContainsFunc(t.Destinations, func(d Destination) bool { return d.Service == service && d.Weight > 0 })
 }
 
 // AtMostOnce reports whether the route's requests must not run more than once.
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -79,9 +79,6 @@
 	}
 	p := l.Position()
 	isNewer = old.position.Before(p) || p == old.position && readAt >= old.readAt
-	if p.Epoch == old.position.Epoch && readAt < old.readAt {
-		isNewer = false
-	}
 	// Within an epoch an older listing can't have a newer configuration, unless that one is left
 	// from before the restore.
 	hasOutlived := l.Epoch != old.position.Epoch || l.RulesEpoch < l.Epoch
@@ -121,6 +118,11 @@
 		return nil
 	}
 	n := &snapshot{rules: r, readAt: readAt, position: l.Position(), rulesEpoch: l.RulesEpoch}
+	if old != nil && l.Epoch == old.position.Epoch {
+		// A listing of a later position holds at least what the store held when the older one was read, whatever the
+		// age says that came with it.
+		n.readAt = max(readAt, old.readAt)
+	}
 	if old != nil && r == old.rules {
 		n.rulesEpoch = old.rulesEpoch
 	}
