proxy: an old configuration doesn't say that there is no route

An entry whose configuration was older than a change may take to be in force answered 404 to routes that it didn't know; such a route may have been added since, and a caller doesn't come back after 404. It now answers 503 with Retry-After, as it does where it can't prove a key. Evidence: TestOldConfigDeniesNoRoute; without the check all four ages give route_not_found. Callers pay nothing: what has no route gets 503 instead of 404 in that time.

--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -72,6 +72,9 @@
 	Seeds []string
 	// ConfigMaxAge is the age up to which a configuration may authenticate keys; 0 for any.
 	ConfigMaxAge time.Duration
+	// ConfigApplyTime is the time within which a new configuration must be in force; 0 for none. One that is older
+	// doesn't say that there is no route.
+	ConfigApplyTime time.Duration
 	// RetryBudget limits the extra sends to a service.
 	RetryBudget budget.Config
 	// RegistrationLapse is the time after which the store drops the registration of a silent
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -125,7 +125,7 @@
 func (p *Proxy) resolve(x *exchange, v *snapshot) *fault.Error {
 	x.route = v.rules.Route(hostWithoutPort(x.r.Host), x.path)
 	if x.route == nil {
-		return fault.NotRun(fault.NoRoute, "no route matches the host and path")
+		return p.noRouteFault(v)
 	}
 	if !x.route.Public && v.rules.RequiresKeys() {
 		if !v.isFresh(p.settings.ConfigMaxAge) {
@@ -145,6 +145,15 @@
 	return nil
 }
 
+// noRouteFault returns the fault for a request that no route matches. An entry that may have missed a change can't tell
+// that there is none: the caller, who wouldn't come back after that answer, is told to.
+func (p *Proxy) noRouteFault(v *snapshot) *fault.Error {
+	if t := p.settings.ConfigApplyTime; t > 0 && v.age() > t {
+		return p.notReadyFault("the configuration is too old to tell that no route matches")
+	}
+	return fault.NotRun(fault.NoRoute, "no route matches the host and path")
+}
+
 // headSize returns the size of a request's head in bytes, including the request line.
 func headSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + headOverheadBytes
@@ -200,7 +209,7 @@
 	x.record.configVersion, x.record.configAge = v.rules.Version(), v.age()
 	t := v.rules.Route(hostWithoutPort(x.r.Host), x.path)
 	if t == nil {
-		return fault.NotRun(fault.NoRoute, "no route matches the host and path")
+		return p.noRouteFault(v)
 	}
 	if x.workspace != nil {
 		if !v.isFresh(p.settings.ConfigMaxAge) {
--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/digest"
 	"cranberrypoint.example/coord/evac"
+	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/origin"
@@ -220,3 +222,27 @@
 		t.Errorf("isFresh (-want +got):\n%s", d)
 	}
 }
+
+// TestOldConfigDeniesNoRoute guards against 404 for a route that was added: an entry that may have missed a change must let the
+// caller come back.
+func TestOldConfigDeniesNoRoute(t *testing.T) {
+	p := newTestProxy(t.Context(), t)
+	p.settings.ConfigApplyTime = 3 * time.Second
+	got := map[time.Duration]fault.Code{}
+	for _, age := range []time.Duration{time.Second, 2900 * time.Millisecond, 3100 * time.Millisecond, time.Minute} {
+		x := &exchange{r: httptest.NewRequest("GET", "http://h/x", nil), path: "/x"}
+		v := &snapshot{rules: mustRules(t, 1), readAt: clock.Now().Add(-age)}
+		p.snapshot.Store(v)
+		e := p.resolve(x, v)
+		if f := p.checkStillAllowed(x); f.Code != e.Code || (e.Code == fault.NotReady) == e.RetryAt.IsZero() {
+			t.Errorf("age %s: %v at admission, %v before the send", age, e, f)
+		}
+		got[age] = e.Code
+	}
+	want := map[time.Duration]fault.Code{
+		time.Second: fault.NoRoute, 2900 * time.Millisecond: fault.NoRoute, 3100 * time.Millisecond: fault.NotReady, time.Minute: fault.NotReady,
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("answers by age (-want +got):\n%s", d)
+	}
+}
