--- a/coord/budget/budget_test.go
+++ b/coord/budget/budget_test.go
@@ -37,16 +37,22 @@
 				retries = append(retries, now)
 			}
 		}
-		for _, end := range retries {
-			made := countWithin(retries, end, config.Window)
-			// A retry at the start of this window was allowed because of requests before it. The
-			// limit is therefore based on the largest number of requests in this window and the
-			// ones that end half a window and a window earlier.
-			n := max(countWithin(requests, end, config.Window), countWithin(requests, end.Add(-config.Window/2), config.Window),
-				countWithin(requests, end.Add(-config.Window), config.Window))
-			if allowed := config.Ratio*float64(n) + config.MinRetries; float64(made) > allowed {
-				t.Fatalf("seed %d: %d retries in a window, want at most %.1f", seed, made, allowed)
-			}
+		checkWindows(t, seed, config, requests, retries)
+	}
+}
+
+// checkWindows checks that the retries in each window stay within the fleet's budget.
+func checkWindows(t *testing.T, seed uint64, c Config, requests, retries []clock.Instant) {
+	t.Helper()
+	for _, end := range retries {
+		made := countWithin(retries, end, c.Window)
+		// A retry at the start of this window was allowed because of requests before it. The
+		// limit is therefore based on the largest number of requests in this window and the
+		// ones that end half a window and a window earlier.
+		n := max(countWithin(requests, end, c.Window), countWithin(requests, end.Add(-c.Window/2), c.Window),
+			countWithin(requests, end.Add(-c.Window), c.Window))
+		if allowed := c.Ratio*float64(n) + c.MinRetries; float64(made) > allowed {
+			t.Fatalf("seed %d: %d retries in a window, want at most %.1f", seed, made, allowed)
 		}
 	}
 }
@@ -119,13 +125,6 @@
 				retries = append(retries, now)
 			}
 		}
-		for _, end := range retries {
-			made := countWithin(retries, end, config.Window)
-			n := max(countWithin(requests, end, config.Window), countWithin(requests, end.Add(-config.Window/2), config.Window),
-				countWithin(requests, end.Add(-config.Window), config.Window))
-			if allowed := config.Ratio*float64(n) + config.MinRetries; float64(made) > allowed {
-				t.Fatalf("seed %d: %d retries in a window, want at most %.1f", seed, made, allowed)
-			}
-		}
+		checkWindows(t, seed, config, requests, retries)
 	}
 }
