budget: first prefills reserve a repeat only while many are refused

Cause: an entry's part of the budget is a few repeats; after one or two runs nothing was left for first prefills, though engines refused few, so decode engines prefilled 204 prompts themselves and delayed all other runs there. Change: a first prefill is a tentative send. While at most 0.15 of those of the window were refused it needs nothing beforehand and counts if it is refused; above that it draws a repeat, which is given back once it was accepted. Entries use three quarters of their share (an eighth within a window of a restart, nothing while they don't know how many they are); the first start of the whole system is no restart.

--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -10,8 +10,8 @@
 //
 // A process that starts has forgotten what it sent before. An entry therefore uses only a part of its share of
 // MinRetries, and a smaller one while an earlier run of it may have sent retries in the same window. The parts leave
-// room for two restarts of all entries within a window. An entry that has just started may also know few others, so
-// until then it makes at most one retry on its share.
+// room for two restarts of all entries within a window. An entry that has just started knows few others, and has no
+// share until it knows how many there are.
 //
 // Time is passed in by the caller, as readings of a clock that no step of the time of day moves.
 package budget
@@ -27,8 +27,13 @@
 	bucketCount = 10
 	// usualPart is the part of its share of MinRetries that an entry uses, and startPart the one that it uses within
 	// a window of its start.
-	usualPart = 0.5
-	startPart = 0.25
+	usualPart = 0.75
+	startPart = 0.125
+	// freeRefusals is the part of tentative sends that may be refused without each drawing on the budget beforehand.
+	freeRefusals = 0.15
+	// priorSends and priorRefusals are what an entry assumes of tentative sends before it has made any.
+	priorSends    = 10
+	priorRefusals = 0.5
 )
 
 // Config limits the retries to a service within any window.
@@ -46,6 +51,16 @@
 type bucket struct {
 	requests float64
 	retries  float64
+	// settled counts the tentative sends that have ended, refused those of them that were refused.
+	settled float64
+	refused float64
+}
+
+// Tentative is a send that becomes a retry if the upstream refuses it, since another one follows then.
+type Tentative struct {
+	allowedAt clock.Instant
+	// drawn is true if a retry was counted for it.
+	drawn bool
 }
 
 // Budget counts the requests and retries of one entry to one service. It is not safe for
@@ -61,9 +76,21 @@
 	startEnds clock.Instant
 }
 
-// New returns an unused budget of a process that started at a time.
-func New(c Config, processStart clock.Instant) *Budget {
-	return &Budget{config: c, startEnds: processStart.Add(c.Window)}
+// Option configures a Budget.
+type Option func(*Budget)
+
+// WithRestartAt says that the process has started at a time, and that an earlier run of it may have sent retries until then.
+func WithRestartAt(t clock.Instant) Option {
+	return func(b *Budget) { b.startEnds = t.Add(b.config.Window) }
+}
+
+// New returns an unused budget.
+func New(c Config, opts ...Option) *Budget {
+	b := &Budget{config: c}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
 }
 
 // RecordRequest counts a caller's request.
@@ -73,7 +100,7 @@
 }
 
 // AllowRetry reports whether a retry may be sent now, and counts it if so. MinRetries is
-// divided by entries, the number of entries that share it.
+// divided by entries, the number of entries that share it; 0 if that isn't known.
 func (b *Budget) AllowRetry(now clock.Instant, entries int) bool {
 	b.advance(now)
 	var requests, retries float64
@@ -92,17 +119,59 @@
 
 // share returns how many retries of MinRetries an entry may make in a window.
 func (b *Budget) share(now clock.Instant, entries int) float64 {
-	s := b.config.MinRetries / float64(max(1, entries))
+	if entries == 0 {
+		return 0
+	}
+	s := b.config.MinRetries / float64(entries)
 	if now.Before(b.startEnds) {
-		return min(1, startPart*s)
+		return startPart * s
 	}
 	return usualPart * s
 }
 
-// Return gives back a retry that was allowed at a time, since the send turned out not to be one.
-func (b *Budget) Return(now, allowedAt clock.Instant) {
+// AllowTentative reports whether a tentative send may be made now. Settle must be called at its end.
+//
+// It answers upstreams that refuse most of such sends: each would be made, and be a retry once it was refused, whatever
+// the budget. While few are refused, they need nothing from the budget beforehand: it may be used up for other reasons, and
+// what the send is for costs more elsewhere.
+func (b *Budget) AllowTentative(now clock.Instant, entries int) (t Tentative, ok bool) {
+	t.allowedAt = now
+	if b.refusesFew(now) {
+		return t, true
+	}
+	t.drawn = b.AllowRetry(now, entries)
+	return t, t.drawn
+}
+
+// refusesFew reports whether upstreams refuse only a small part of tentative sends.
+func (b *Budget) refusesFew(now clock.Instant) bool {
+	b.advance(now)
+	settled, refused := float64(priorSends), priorRefusals
+	for _, x := range b.buckets {
+		settled += x.settled
+		refused += x.refused
+	}
+	return refused <= freeRefusals*settled
+}
+
+// Settle records the end of a tentative send. If it was refused, it counts as a retry, even if the budget is used up.
+func (b *Budget) Settle(now clock.Instant, t Tentative, refused bool) {
 	b.advance(now)
-	i := b.newestSlot - b.slot(allowedAt)
+	b.buckets[0].settled++
+	switch {
+	case refused:
+		b.buckets[0].refused++
+		if !t.drawn {
+			b.buckets[0].retries++
+		}
+	case t.drawn:
+		b.giveBack(t.allowedAt)
+	}
+}
+
+// giveBack takes back a retry that was counted at a time.
+func (b *Budget) giveBack(countedAt clock.Instant) {
+	i := b.newestSlot - b.slot(countedAt)
 	if i >= 0 && i <= bucketCount && b.buckets[i].retries > 0 {
 		b.buckets[i].retries--
 	}
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -107,11 +107,10 @@
 	if !ok {
 		return k
 	}
-	accepted, ok := p.drawPrefill(x)
+	settle, ok := p.drawPrefill(x)
 	if !ok {
 		return k
 	}
-	isFirst := x.prefillAttempts == 0
 	x.record.prefillInstance = c.upstream.Instance
 	release := p.trackPrefill(x, c)
 	defer release()
@@ -121,23 +120,16 @@
 		x.prefillAttempts++
 	}
 	if err != nil {
-		if !maybeSent(err) || x.ctx.Err() != nil {
-			// It didn't arrive, or nothing will follow it.
-			accepted()
-		} else if isFirst {
-			p.recordRepeat(x, repeatRefusedPrefill, true)
-		}
+		// If it didn't arrive, or nothing will follow it, it is no repeat.
+		settle(maybeSent(err) && x.ctx.Err() == nil)
 		x.record.cause = "prefill: " + err.Error()
 		return k
 	}
 	h, ok := p.readHandle(x, c, resp, info)
+	settle(!ok)
 	if !ok {
-		if isFirst {
-			p.recordRepeat(x, repeatRefusedPrefill, true)
-		}
 		return k
 	}
-	accepted()
 	x.record.prefillTime = time.Since(began)
 	p.recordPrefill(c, backlog+x.call.PromptTokens, x.record.prefillTime)
 	k.source, k.holder = p.codec.KVSource(c.upstream.Address, h), c.upstream
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -77,6 +77,8 @@
 	ConfigApplyTime time.Duration
 	// RetryBudget limits the extra sends to a service.
 	RetryBudget budget.Config
+	// FirstStart is true if no earlier run of this process can have sent anything.
+	FirstStart bool
 	// RegistrationLapse is the time after which the store drops the registration of a silent
 	// upstream; 0 for a default.
 	RegistrationLapse time.Duration
--- a/entry/proxy/repeats.go
+++ b/entry/proxy/repeats.go
@@ -24,7 +24,11 @@
 func (p *Proxy) retryBudget(service string) *budget.Budget {
 	b := p.retryBudgets[service]
 	if b == nil {
-		b = budget.New(p.settings.RetryBudget, p.startInstant)
+		var opts []budget.Option
+		if !p.settings.FirstStart {
+			opts = append(opts, budget.WithRestartAt(p.startInstant))
+		}
+		b = budget.New(p.settings.RetryBudget, opts...)
 		p.retryBudgets[service] = b
 	}
 	return b
@@ -51,29 +55,45 @@
 
 // allowRepeat draws on the retry budget of the request's service.
 func (p *Proxy) allowRepeat(x *exchange, now clock.Instant) bool {
-	entries := 1 + max(p.mesh.CountKnown(mesh.RoleEntry), p.fleet.CountOthers())
+	entries := p.countEntries()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.retryBudget(x.service.Name).AllowRetry(now, entries)
 }
 
-// drawPrefill reports whether the retry budget allows a prefill, and counts it there if so. The first one counts only if
-// the engine doesn't accept it, so accepted must be called once it has.
-//
-// It answers engines that refuse most prompts: each stream's prefill would be sent all the same, and be followed by a
-// run, which is then a repeat. With the budget spent, the run goes to its engine at once and prefills there.
-func (p *Proxy) drawPrefill(x *exchange) (accepted func(), ok bool) {
-	now, isFirst := clock.Now(), x.prefillAttempts == 0
-	ok = p.allowRepeat(x, now)
-	if !isFirst || !ok {
+// countEntries returns how many entries share the retry budget, those included that were lost lately; 0 while this entry has
+// just started again and may not know them.
+func (p *Proxy) countEntries() int {
+	if p.isSettling() && !p.settings.FirstStart {
+		return 0
+	}
+	return 1 + max(p.mesh.CountKnown(mesh.RoleEntry), p.fleet.CountOthers())
+}
+
+// drawPrefill reports whether the retry budget allows a prefill. settle must be called at its end. The first one
+// counts only if the engine refuses it, as a run follows that would have been the first arrival. With the budget spent, the run
+// goes to its engine at once and prefills there.
+func (p *Proxy) drawPrefill(x *exchange) (settle func(refused bool), ok bool) {
+	if x.prefillAttempts > 0 {
+		ok = p.allowRepeat(x, clock.Now())
 		p.recordRepeat(x, repeatPrefill, ok)
-		return func() {}, ok
+		return func(bool) {}, ok
+	}
+	entries := p.countEntries()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.retryBudget(x.service.Name).AllowTentative(clock.Now(), entries)
+	if !ok {
+		p.recordRepeat(x, repeatPrefill, false)
 	}
-	return func() {
+	return func(refused bool) {
 		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.retryBudget(x.service.Name).Return(clock.Now(), now)
-	}, true
+		p.retryBudget(x.service.Name).Settle(clock.Now(), t, refused)
+		p.mu.Unlock()
+		if refused {
+			p.recordRepeat(x, repeatRefusedPrefill, true)
+		}
+	}, ok
 }
 
 // recordRepeat records in metrics and in the request's log line that it is sent once more, or why it isn't.
