--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -124,10 +124,7 @@
 }
 
 // slowStore answers late, with a newer configuration.
-type slowStore struct {
-	failingStore
-	listing calls.Listing
-}
+type slowStore struct{ listing calls.Listing }
 
 func (s slowStore) List(context.Context) (calls.Listing, error) {
 	time.Sleep(slowStoreTime)
