proxy: a call that brings the configuration isn't cut while it goes on

Cause: an entry awaited another one's answer for 0.25 s and cut the call then. A configuration of 2500 routes takes 0.4 s over 10 Mbit/s, so the call was cut and made again from the start, at each of two store readers, every 0.45 s; the link was full of what was cut. Class: a time-out that is to pass over a silent source, and cuts a busy one.

Change: after 0.25 s the next source is asked too, and the first call goes on; what it brings is adopted. An entry has one call to another at a time. So silent sources still hold up nothing (TestSilentReadersDoNotDelayUpdate).

--- a/entry/proxy/learn.go
+++ b/entry/proxy/learn.go
@@ -21,13 +21,16 @@
 )
 
 const (
-	// entryTimeout limits a List call to another entry.
+	// entryTimeout is the time after which a List call to another entry no longer holds up others.
 	entryTimeout = 250 * time.Millisecond
 	// maxEntryDataAge is the age up to which data from another entry makes it unnecessary to ask
 	// further. Older data is adopted if it is newer than the snapshot.
 	maxEntryDataAge = 900 * time.Millisecond
 )
 
+// errFetching means that an earlier List call to the same entry is still on its way.
+var errFetching = eris.New("the other entry is being asked")
+
 // errNoRecentData means that no recent enough data came from another entry: there was none to ask,
 // it had none, its data was too old, even if it was adopted, or the reply no longer matched this
 // entry's upstreams.
@@ -54,15 +57,17 @@
 		return errNoRecentData
 	}
 	defer fault.Annotate(&err, "fetch configuration from entry %s", m.Name)
+	if _, isRunning := p.fetching.LoadOrStore(m.Address, true); isRunning {
+		return errFetching
+	}
+	defer p.fetching.Delete(m.Address)
 	old := p.snapshot.Load()
 	q := p.listRequest(old)
 	p.mu.Lock()
 	q.Leaving = p.leavingNames(time.Now())
 	p.mu.Unlock()
 	sent := clock.Now()
-	ctx, cancel := context.WithTimeout(p.ctx, entryTimeout)
-	defer cancel()
-	a, err := link.Call(ctx, p.links, m.Address, link.List, q)
+	a, err := link.Call(p.ctx, p.links, m.Address, link.List, q)
 	if err != nil {
 		return err
 	}
