proxy, wire: entries send each other large configurations compressed

Cause: a change of one route makes each entry fetch the whole configuration, 0.5 MB with 2500 routes, and the store readers' links carry it once for each other entry. Class: a transfer that grows with the state, on links that don't.

Change: a configuration of 4 kB or more is compressed once, when another entry that reads it so first asks; entries of earlier releases get it as before.

--- a/entry/proxy/learn.go
+++ b/entry/proxy/learn.go
@@ -16,7 +16,6 @@
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -43,9 +42,11 @@
 		s.config, s.configHash = old.config, old.configHash
 		return nil
 	}
-	s.config, err = json.Marshal(s.rules.Config())
-	s.configHash = max(1, xxhash.Sum64(s.config))
-	return err
+	if s.config, err = newEncodedConfig(s.rules.Config()); err != nil {
+		return err
+	}
+	s.configHash = s.config.hash
+	return nil
 }
 
 // fetchFromEntry adopts the data of another entry if it is newer, and returns nil if it is also at
@@ -77,7 +78,7 @@
 // listRequest returns a request for what another entry knows beyond a snapshot; nil for none. If versions of upstreams are
 // missing, as in lists of entries of earlier releases, it asks for the whole list, since versions aren't in the hash.
 func (p *Proxy) listRequest(old *snapshot) *wire.ListRequest {
-	q := &wire.ListRequest{Sender: p.settings.PeerAddress}
+	q := &wire.ListRequest{Sender: p.settings.PeerAddress, AcceptsCompressed: true}
 	if old != nil {
 		q.Hash, q.Version, q.ConfigHash = old.hash, old.rules.Version(), old.configHash
 		if old.lacksVersions() {
@@ -169,8 +170,8 @@
 		l.Rules = old.rules
 		return l, nil
 	}
-	var c rules.Config
-	if err := json.Unmarshal(a.Config, &c); err != nil {
+	c, err := decodeConfig(a)
+	if err != nil {
 		return l, err
 	}
 	l.Rules, err = rules.New(c)
@@ -201,7 +202,7 @@
 	}
 	a = &wire.ListReply{Known: true, AgeMicros: v.age().Microseconds(), Epoch: v.position.Epoch, Revision: v.position.Revision, ConfigEpoch: v.rulesEpoch, Departures: encodeDepartures(now, hidden), Leaving: leaving}
 	if q.Version != v.rules.Version() || q.ConfigHash != 0 && q.ConfigHash != v.configHash {
-		a.Config = v.config
+		v.config.addTo(a, q.AcceptsCompressed)
 	}
 	if v.knowsEvacuations() {
 		a.Evacuations = p.evac.Encode(now)
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -38,9 +38,8 @@
 	evacuated map[string]bool
 	// hash identifies the list of upstreams.
 	hash uint64
-	// config is the configuration in JSON, as sent to other entries, and configHash identifies
-	// its content.
-	config     []byte
+	// config is the configuration as sent to other entries, and configHash identifies its content.
+	config     *encodedConfig
 	configHash uint64
 }
 
