proxy: the end of a request doesn't close its reservation's connection

What callers saw: 503 'no engine has a place in time' without a reason although an engine was free, right after another request was broken off or its caller had left.

The log shows 'reserve at agent-1: context canceled' for a request that was not cancelled.

Cause: a reservation is a stream whose context was the request's. When the request ended before the agent had confirmed the end of the reservation, drpc closed the connection; the error of that read counted as the confirmation, so the closing connection went back to the pool, and the next reservation could take it. Class: any error taken for the expected one; a context that outlives its purpose.

Ruled out: ejected engines, silent agents (the state was 3 to 46 ms old).

Change: once granted, a reservation ends only by its release; only the end of the stream counts as the confirmation.

What an agent learns of a complete answer also no longer depends on which of the two ends first.

--- a/entry/proxy/hold.go
+++ b/entry/proxy/hold.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"time"
 
 	"cranberrypoint.example/coord/fault"
@@ -14,10 +16,13 @@
 
 // reserve asks the agent of an engine for a reservation, which lasts as long as the stream to
 // the agent is open. If it is granted, release ends it and tells the agent whether the answer
-// was complete.
+// was complete; the end of ctx no longer does, since it would close the connection, which
+// others use next.
 func (p *Proxy) reserve(ctx context.Context, sub *subscription, q *wire.HoldRequest) (r *wire.HoldReply, release func(complete bool), err error) {
 	defer fault.Annotate(&err, "reserve at %s", sub.manager.process)
-	ctx, cancel := context.WithCancel(ctx)
+	request := ctx
+	ctx, cancel := context.WithCancel(context.WithoutCancel(request))
+	detach := context.AfterFunc(request, cancel)
 	timer := time.AfterFunc(micros(q.PatienceMicros)+reservationReplyMargin, cancel)
 	c, free, err := p.links.Get(ctx, sub.manager.address)
 	if err != nil {
@@ -43,6 +48,7 @@
 		return nil, nil, err
 	}
 	timer.Stop()
+	detach()
 	release = func(complete bool) { p.tasks.Go(func() { finish(closeReservation(s, complete)) }) }
 	if !r.Granted {
 		release(false)
@@ -64,7 +70,7 @@
 	t := time.AfterFunc(time.Second, func() { _ = s.Close() })
 	defer t.Stop()
 	_, err := s.Recv()
-	return err != nil && t.Stop()
+	return errors.Is(err, io.EOF) && t.Stop()
 }
 
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
