proxy: an entry that lags while the store answers serves nothing by what is replaced

Cause, beside what made the configuration late: nothing at the entry looked at the bound. An entry used its configuration until it was too old to prove keys (4.6 s where the bound is 3 s), for any reason that made it late. Class: a promise that is kept only if everything before it is on time.

Change: from that time on the entry refuses with 503 and Retry-After, and isn't ready, as long as its checks of the store succeed. While they fail it goes on as before: a store that is down changes nothing, and no entry knows better. A request that waited is sent only by the newest configuration, as before.

TestOutdatedConfigServesNothingWhileStoreAnswers failed before (served with a configuration 3.1 s old, the store called 1 s ago).

--- /dev/null
+++ b/entry/proxy/outdated_test.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/clock"
+	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/rules"
+	"github.com/google/go-cmp/cmp"
+)
+
+// keyedRules returns rules of a version with one route, which needs a key, and the keys of some workspaces.
+func keyedRules(t *testing.T, version uint64, workspaces map[string]string) *rules.Rules {
+	t.Helper()
+	c := rules.Config{
+		Version: version, Services: []rules.Service{{Name: "s"}},
+		Routes: []rules.Route{{Name: "r", Host: "h", Prefix: "/", Kind: rules.Idempotent, Destinations: []rules.Destination{{Service: "s", Weight: 1}}}},
+	}
+	for key, w := range workspaces {
+		c.Workspaces = append(c.Workspaces, rules.Workspace{Name: w, Keys: []string{key}})
+	}
+	r, err := rules.New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestOutdatedConfigServesNothingWhileStoreAnswers guards against requests that are handled by a replaced version at an entry
+// that lags for whatever reason: it refuses them from the time on at which a change must be in force. While the store
+// doesn't answer, no entry knows better, and it goes on until keys can no longer be proved.
+func TestOutdatedConfigServesNothingWhileStoreAnswers(t *testing.T) {
+	const second = time.Second
+	p := newTestProxy(t.Context(), t)
+	p.settings.ConfigApplyTime, p.settings.ConfigMaxAge = 3*second, 5*second
+	r := keyedRules(t, 1, map[string]string{"k": "w"})
+	for _, c := range []struct {
+		age, sinceStoreCall time.Duration
+		key                 string
+		want                fault.Code
+	}{
+		{second, second, "k", ""}, {2900 * time.Millisecond, second, "k", ""},
+		{3100 * time.Millisecond, second, "k", fault.NotReady}, {3100 * time.Millisecond, 4 * second, "k", ""},
+		{4700 * time.Millisecond, 6 * second, "k", fault.NotReady},
+		{second, second, "other", fault.BadKey},
+	} {
+		x := &exchange{r: httptest.NewRequest("GET", "http://h/x", nil), path: "/x", call: calls.RequestInfo{Key: c.key}}
+		p.lastStoreCall.Store(int64(clock.Now().Add(-c.sinceStoreCall)))
+		v := &snapshot{rules: r, readAt: clock.Now().Add(-c.age), evacuationsReadAt: clock.Now()}
+		p.snapshot.Store(v)
+		var got fault.Code
+		if e := p.resolve(x, v); e != nil {
+			got = e.Code
+		}
+		if d := cmp.Diff(c.want, got); d != "" {
+			t.Errorf("configuration %s old, store called %s ago, key %s (-want +got):\n%s", c.age, c.sinceStoreCall, c.key, d)
+		}
+		if isReady := c.age < p.settings.ConfigApplyTime && c.sinceStoreCall < p.settings.ConfigMaxAge/2; p.Status().Ready != isReady {
+			t.Errorf("configuration %s old, store called %s ago: ready %t, want %t", c.age, c.sinceStoreCall, !isReady, isReady)
+		}
+	}
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -361,7 +361,7 @@
 	if v != nil {
 		// The status names the version of the configuration, not the snapshot's revision.
 		s.Revision = v.rules.Version()
-		s.Ready = !s.Draining && v.isFresh(p.settings.ConfigMaxAge) && v.knowsEvacuations() && p.storeReachable()
+		s.Ready = !s.Draining && v.isFresh(p.settings.ConfigMaxAge) && v.knowsEvacuations() && p.storeReachable() && !p.lagsBehind(v)
 	}
 	return s
 }
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -123,6 +123,9 @@
 
 // resolve finds the route, the workspace and the service of a request.
 func (p *Proxy) resolve(x *exchange, v *snapshot) *fault.Error {
+	if p.lagsBehind(v) {
+		return p.notReadyFault("the configuration is too old although the store answers")
+	}
 	x.route = v.rules.Route(hostWithoutPort(x.r.Host), x.path)
 	if x.route == nil {
 		return p.noRouteFault(v)
@@ -145,10 +148,22 @@
 	return nil
 }
 
+// lagsBehind reports whether this entry may have missed a change that has to be in force by now, although the store answers
+// it. Its callers are better served elsewhere. While the store doesn't answer, no entry knows better.
+func (p *Proxy) lagsBehind(v *snapshot) bool {
+	return p.isOutdated(v) && p.sinceStoreCall() < p.settings.ConfigApplyTime
+}
+
+// isOutdated reports whether this entry may have missed a change that has to be in force by now.
+func (p *Proxy) isOutdated(v *snapshot) bool {
+	t := p.settings.ConfigApplyTime
+	return t > 0 && v.age() > t
+}
+
 // noRouteFault returns the fault for a request that no route matches. An entry that may have missed a change can't tell
 // that there is none: the caller, who wouldn't come back after that answer, is told to.
 func (p *Proxy) noRouteFault(v *snapshot) *fault.Error {
-	if t := p.settings.ConfigApplyTime; t > 0 && v.age() > t {
+	if p.isOutdated(v) {
 		return p.notReadyFault("the configuration is too old to tell that no route matches")
 	}
 	return fault.NotRun(fault.NoRoute, "no route matches the host and path")
