proxy: an old configuration doesn't say that a key is not granted

What callers would see: 401, after which nobody comes back, for a key that was added more than the bound ago, at an entry that may have missed the change. Found while the same was sought for routes. Class: absence in old data taken for absence.

Change: 503 with Retry-After from the time on at which changes must be in force.

TestOutdatedConfigServesNothingWhileStoreAnswers, its last case: 401 before.

--- a/entry/proxy/outdated_test.go
+++ b/entry/proxy/outdated_test.go
@@ -45,7 +45,7 @@
 		{second, second, "k", ""}, {2900 * time.Millisecond, second, "k", ""},
 		{3100 * time.Millisecond, second, "k", fault.NotReady}, {3100 * time.Millisecond, 4 * second, "k", ""},
 		{4700 * time.Millisecond, 6 * second, "k", fault.NotReady},
-		{second, second, "other", fault.BadKey},
+		{second, second, "other", fault.BadKey}, {3100 * time.Millisecond, 4 * second, "other", fault.NotReady},
 	} {
 		x := &exchange{r: httptest.NewRequest("GET", "http://h/x", nil), path: "/x", call: calls.RequestInfo{Key: c.key}}
 		p.lastStoreCall.Store(int64(clock.Now().Add(-c.sinceStoreCall)))
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -136,7 +136,7 @@
 		}
 		x.workspace = v.rules.Workspace(x.call.Key)
 		if x.call.Key == "" || x.workspace == nil {
-			return fault.NotRun(fault.BadKey, "the key is not granted")
+			return p.noKeyFault(v)
 		}
 	} else if x.call.Key != "" && v.isFresh(p.settings.ConfigMaxAge) {
 		x.workspace = v.rules.Workspace(x.call.Key)
@@ -160,6 +160,14 @@
 	return t > 0 && v.age() > t
 }
 
+// noKeyFault returns the fault for a request whose key no workspace has, as noRouteFault does.
+func (p *Proxy) noKeyFault(v *snapshot) *fault.Error {
+	if p.isOutdated(v) {
+		return p.notReadyFault("the configuration is too old to tell that no workspace has the key")
+	}
+	return fault.NotRun(fault.BadKey, "the key is not granted")
+}
+
 // noRouteFault returns the fault for a request that no route matches. An entry that may have missed a change can't tell
 // that there is none: the caller, who wouldn't come back after that answer, is told to.
 func (p *Proxy) noRouteFault(v *snapshot) *fault.Error {
