proxy: a key that has moved to another workspace isn't denied

What callers would see: 401, after which nobody comes back, for a valid key, if a change gives it to another workspace while the request waits.

Change: 503 with Retry-After; the request that comes back is charged to the right workspace. A key that was taken away is still refused with 401.

TestMovedKeyIsNotDenied: 401 before.

--- a/entry/proxy/outdated_test.go
+++ b/entry/proxy/outdated_test.go
@@ -63,3 +63,29 @@
 		}
 	}
 }
+
+// TestMovedKeyIsNotDenied guards against 401, after which callers don't come back, for a key that a change has given to another
+// workspace while the request waited.
+func TestMovedKeyIsNotDenied(t *testing.T) {
+	p := newTestProxy(t.Context(), t)
+	before := &snapshot{rules: keyedRules(t, 1, map[string]string{"k": "w"}), readAt: clock.Now()}
+	for _, c := range []struct {
+		workspaces map[string]string
+		want       fault.Code
+	}{
+		{map[string]string{"k": "other"}, fault.NotReady}, {map[string]string{"other": "w"}, fault.BadKey},
+	} {
+		x := &exchange{r: httptest.NewRequest("GET", "http://h/x", nil), path: "/x", call: calls.RequestInfo{Key: "k"}}
+		if e := p.resolve(x, before); e != nil {
+			t.Fatal(e)
+		}
+		p.snapshot.Store(&snapshot{rules: keyedRules(t, 2, c.workspaces), readAt: clock.Now()})
+		e := p.checkStillAllowed(x)
+		if e == nil {
+			t.Fatalf("%v: still allowed", c.workspaces)
+		}
+		if d := cmp.Diff(c.want, e.Code); d != "" {
+			t.Errorf("keys are now %v (-want +got):\n%s", c.workspaces, d)
+		}
+	}
+}
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -238,9 +238,13 @@
 		if !v.isFresh(p.settings.ConfigMaxAge) {
 			return p.notReadyFault("the configuration is too old to prove a key")
 		}
-		if w := v.rules.Workspace(x.call.Key); w == nil || w.Name != x.workspace.Name {
+		w := v.rules.Workspace(x.call.Key)
+		if w == nil {
 			return fault.NotRun(fault.BadKey, "the key is not granted")
 		}
+		if w.Name != x.workspace.Name {
+			return p.notReadyFault("the key has moved to another workspace")
+		}
 	}
 	p.updateBounds(x, v, t)
 	if t.Serves(x.service.Name) {
