--- a/entry/proxy/slowlink_test.go
+++ b/entry/proxy/slowlink_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,24 +67,11 @@
 	return l.Addr().String()
 }
 
-// TestLargeConfigReachesSmallLinksInTime guards against changes that are late, or never in force, at entries on VMs with small
-// links: with many routes, the configuration takes longer over such a link than an answer was awaited.
-func TestLargeConfigReachesSmallLinksInTime(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	changed := make(chan struct{})
-	versions := []calls.Listing{{Rules: largeRules(t, 1), Revision: 1}, {Rules: largeRules(t, 2), Revision: 2}}
-	listing := func() calls.Listing {
-		select {
-		case <-changed:
-			return versions[1]
-		default:
-			return versions[0]
-		}
-	}
+// smallLinkEntry returns an entry on a VM with a small link, and the addresses at which it reaches the store readers.
+func smallLinkEntry(ctx context.Context, t *testing.T, listing func() calls.Listing) (p *Proxy, small *fake.SlowLink, readers []string) {
+	t.Helper()
 	small, closeLink := fake.NewSlowLink(smallLinkRate)
-	defer closeLink()
-	var readers []string
+	t.Cleanup(closeLink)
 	for range maxStoreReaders {
 		a, err := small.To(serveListing(ctx, t, listing))
 		if err != nil {
@@ -91,7 +79,30 @@
 		}
 		readers = append(readers, a)
 	}
-	p := newTestProxy(ctx, t, readers...)
+	return newTestProxy(ctx, t, readers...), small, readers
+}
+
+// awaitVersion lets an entry refresh its snapshot until a version is in force, which must be so within applyTime.
+func awaitVersion(t *testing.T, p *Proxy, small *fake.SlowLink, version uint64) {
+	t.Helper()
+	began := time.Now()
+	for v := p.snapshot.Load(); v == nil || v.rules.Version() != version; v = p.snapshot.Load() {
+		if time.Since(began) > applyTime {
+			t.Fatalf("version %d isn't in force after %s; %d bytes were received", version, applyTime, small.Received())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("version %d was in force after %s, %d bytes were received", version, time.Since(began), small.Received())
+}
+
+// TestLargeConfigReachesSmallLinksInTime guards against changes that are late, or never in force, at entries on VMs with small
+// links: with many routes, the configuration takes longer over such a link than an answer was awaited.
+func TestLargeConfigReachesSmallLinksInTime(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	versions := []calls.Listing{{Rules: largeRules(t, 1), Revision: 1}, {Rules: largeRules(t, 2), Revision: 2}}
+	var newest atomic.Int64
+	p, small, _ := smallLinkEntry(ctx, t, func() calls.Listing { return versions[newest.Load()] })
 	if err := p.adopt(versions[0], clock.Now()); err != nil {
 		t.Fatal(err)
 	}
@@ -99,13 +110,20 @@
 	defer p.tasks.Close()
 	defer cancel()
 	time.Sleep(pollPeriod)
-	close(changed)
-	began := time.Now()
-	for p.snapshot.Load().rules.Version() != 2 {
-		if time.Since(began) > applyTime {
-			t.Fatalf("the change isn't in force after %s; %d bytes were received", applyTime, small.Received())
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Logf("the change was in force after %s, %d bytes were received", time.Since(began), small.Received())
+	newest.Store(1)
+	awaitVersion(t, p, small, 2)
+}
+
+// TestLargeConfigReachesStartingEntry is TestLargeConfigReachesSmallLinksInTime for an entry that starts and knows only seeds.
+func TestLargeConfigReachesStartingEntry(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	listing := calls.Listing{Rules: largeRules(t, 1), Revision: 1}
+	_, small, seeds := smallLinkEntry(ctx, t, func() calls.Listing { return listing })
+	p := newTestProxy(ctx, t)
+	p.settings.Seeds, p.startedAt = seeds, time.Now()
+	p.tasks.Go(p.pollConfig)
+	defer p.tasks.Close()
+	defer cancel()
+	awaitVersion(t, p, small, 1)
 }
