proxy: an overloaded entry serves nothing by what may be replaced

Its calls to the store and to other entries don't end in time, nor do its checks of the store, so the guard against lagging didn't see it.

Cause: 'the store doesn't answer me' was taken for 'the store is down'. Class: a process takes its own slowness for another's failure.

Change: an entry with an old configuration goes on only if another entry has said within that time that its data is old too, or if there are no others.

TestOverloadedEntryServesNothingByOldConfig: 'others are silent' was served before.

--- a/entry/proxy/learn.go
+++ b/entry/proxy/learn.go
@@ -115,6 +115,9 @@
 // adoptReply adopts the reply of another entry to a request that was based on a snapshot.
 func (p *Proxy) adoptReply(now moment, q *wire.ListRequest, old *snapshot, a *wire.ListReply, readAt clock.Instant) error {
 	isOld := micros(a.AgeMicros) > maxEntryDataAge
+	if a.Known && isOld {
+		p.lastOldReply.Store(int64(now.instant))
+	}
 	if !a.Known || isOld && old != nil && readAt <= old.readAt && len(a.Config) == 0 {
 		return errNoRecentData
 	}
--- a/entry/proxy/outdated_test.go
+++ b/entry/proxy/outdated_test.go
@@ -9,6 +9,7 @@
 	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/rules"
+	"cranberrypoint.example/coord/wire"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -30,8 +31,8 @@
 }
 
 // TestOutdatedConfigServesNothingWhileStoreAnswers guards against requests that are handled by a replaced version at an entry
-// that lags for whatever reason: it refuses them from the time on at which a change must be in force. While the store
-// doesn't answer, no entry knows better, and it goes on until keys can no longer be proved.
+// that lags although the store answers: it refuses them from the time on at which a change must be in force. While the store
+// doesn't answer and there is no other entry, it goes on until keys can no longer be proved.
 func TestOutdatedConfigServesNothingWhileStoreAnswers(t *testing.T) {
 	const second = time.Second
 	p := newTestProxy(t.Context(), t)
@@ -89,3 +90,34 @@
 		}
 	}
 }
+
+// TestOverloadedEntryServesNothingByOldConfig guards against requests that are handled by a replaced version at an entry that gets
+// no answer in time from the store or from other entries, since its own link or processor is full. An old configuration is
+// used only while others say that theirs is old too, or there are no others.
+func TestOverloadedEntryServesNothingByOldConfig(t *testing.T) {
+	r := keyedRules(t, 1, map[string]string{"k": "w"})
+	const apply = 3 * time.Second
+	for _, c := range []struct {
+		name          string
+		peers         []string
+		sinceOldReply time.Duration
+		want          bool
+	}{
+		{"others say that their data is old", []string{"127.0.0.1:1"}, time.Second, false},
+		{"others are silent", []string{"127.0.0.1:1"}, apply + time.Second, true},
+		{"there are no others", nil, apply + time.Second, false},
+	} {
+		p := newTestProxy(t.Context(), t, c.peers...)
+		p.settings.ConfigApplyTime = apply
+		now := present()
+		v := &snapshot{rules: r, readAt: now.instant.Add(-apply - 100*time.Millisecond), evacuationsReadAt: now.instant}
+		p.snapshot.Store(v)
+		p.lastStoreCall.Store(int64(now.instant.Add(-2 * apply)))
+		old := moment{now.time.Add(-c.sinceOldReply), now.instant.Add(-c.sinceOldReply)}
+		q := p.listRequest(v)
+		_ = p.adoptReply(old, q, v, &wire.ListReply{Known: true, AgeMicros: apply.Microseconds()}, old.instant.Add(-apply))
+		if got := p.lagsBehind(v); got != c.want {
+			t.Errorf("%s: lags %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -121,6 +121,8 @@
 	draining atomic.Bool
 	// learning is true while a newer configuration is being fetched from another entry.
 	learning atomic.Bool
+	// lastOldReply is the clock.Instant at which another entry last said that its data is old.
+	lastOldReply atomic.Int64
 	// fetching holds the addresses of the entries to which a List call is on its way.
 	fetching sync.Map
 	// readingStore is true while the store is being read, which only one goroutine may do.
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -11,7 +11,9 @@
 	"strings"
 	"time"
 
+	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/mesh"
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
@@ -124,7 +126,7 @@
 // resolve finds the route, the workspace and the service of a request.
 func (p *Proxy) resolve(x *exchange, v *snapshot) *fault.Error {
 	if p.lagsBehind(v) {
-		return p.notReadyFault("the configuration is too old although the store answers")
+		return p.notReadyFault("the configuration is too old, and others may have a newer one")
 	}
 	x.route = v.rules.Route(hostWithoutPort(x.r.Host), x.path)
 	if x.route == nil {
@@ -148,10 +150,21 @@
 	return nil
 }
 
-// lagsBehind reports whether this entry may have missed a change that has to be in force by now, although the store answers
-// it. Its callers are better served elsewhere. While the store doesn't answer, no entry knows better.
+// lagsBehind reports whether this entry may have missed a change that has to be in force by now, and others may know it: the
+// store answers, or no other entry says that it has only old data too. Its callers are better served elsewhere.
+//
+// It answers an entry whose link or processor is so full that what brings the configuration comes late. While the store is
+// down for all, nobody knows better, and the entry goes on.
 func (p *Proxy) lagsBehind(v *snapshot) bool {
-	return p.isOutdated(v) && p.sinceStoreCall() < p.settings.ConfigApplyTime
+	if !p.isOutdated(v) {
+		return false
+	}
+	t := p.settings.ConfigApplyTime
+	if p.sinceStoreCall() < t {
+		return true
+	}
+	sinceOldReply := clock.Now().Sub(clock.Instant(p.lastOldReply.Load()))
+	return sinceOldReply > t && len(p.mesh.Live(mesh.RoleEntry)) > 0
 }
 
 // isOutdated reports whether this entry may have missed a change that has to be in force by now.
