--- a/entry/proxy/hold_test.go
+++ b/entry/proxy/hold_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/link"
+	"cranberrypoint.example/coord/tasks"
 	"cranberrypoint.example/coord/wire"
 	"github.com/google/go-cmp/cmp"
 )
@@ -70,7 +71,8 @@
 		}
 		release(false)
 		cancel()
-		time.Sleep(2 * confirmDelay)
+		p.tasks.Close() // The reservation has ended.
+		p.tasks = tasks.Group{}
 	}
 	if d := cmp.Diff(int64(1), l.accepted.Load()); d != "" {
 		t.Errorf("connections to the agent, one reservation after the other (-want +got):\n%s", d)
