--- /dev/null
+++ b/review/stand/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// cases are the cases by name.
+var cases = map[string]testCase{
+	"restore": playRestore,
+}
