--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -2,6 +2,7 @@
 
 // cases are the cases by name.
 var cases = map[string]testCase{
-	"restore": playRestore,
-	"version": playVersion,
+	"pipeline": playPipeline,
+	"restore":  playRestore,
+	"version":  playVersion,
 }
