--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -5,5 +5,6 @@
 	"memory":   playMemory,
 	"pipeline": playPipeline,
 	"restore":  playRestore,
+	"resume":   playResume,
 	"version":  playVersion,
 }
