--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -191,6 +191,13 @@
 			return fmt.Errorf("%s isn't ready", p.name)
 		}
 	}
+	for _, p := range w.entries {
+		// The system has started for the first time.
+		p.settings["bootstrap"] = false
+		if err := p.writeSettings(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -220,15 +227,20 @@
 
 // start starts the program for the first time.
 func (p *process) start() error {
-	b, err := json.Marshal(p.settings)
-	if err != nil {
+	if err := p.writeSettings(); err != nil {
 		return err
 	}
+	return p.live()
+}
+
+// writeSettings writes the settings file.
+func (p *process) writeSettings() error {
 	// JSON is YAML too.
-	if err := os.WriteFile(p.path, b, 0o600); err != nil {
+	b, err := json.Marshal(p.settings)
+	if err != nil {
 		return err
 	}
-	return p.live()
+	return os.WriteFile(p.path, b, 0o600)
 }
 
 // live starts the program and, when it has ended, starts it again.
