--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -39,11 +39,11 @@
 func playMemory(w *world) error {
 	w.configure(
 		[]map[string]any{{
-			"name": "r-record", "host": host, "prefix": "/record/", "route-type": "unsafe", "timeout-ms": uploadTimeout.Milliseconds(),
+			"name": "r-record", "host": host, "prefix": "/record/", wire.Kind: "unsafe", "timeout-ms": uploadTimeout.Milliseconds(),
 			"target-latency-ms": 300, "priority": 2, "service": "portal", "max-attempts": 1,
 		}},
 		[]map[string]any{{"name": "portal", "health-path": "/healthz", "max-connections": 110}},
-		[]map[string]any{{"name": "tenant", "api-keys": []string{"key-1"}}},
+		[]map[string]any{{"name": "workspace", wire.Keys: []string{"key-1"}}},
 	)
 	u := &uploads{world: w}
 	for i := range 4 {
--- a/review/stand/pipeline.go
+++ b/review/stand/pipeline.go
@@ -21,11 +21,11 @@
 func playPipeline(w *world) error {
 	w.configure(
 		[]map[string]any{{
-			"name": "r-menu", "host": host, "prefix": "/menu/", "route-type": "safe", "timeout-ms": 8000,
+			"name": "r-menu", "host": host, "prefix": "/menu/", wire.Kind: "safe", "timeout-ms": 8000,
 			"target-latency-ms": 300, "priority": 2, "service": "orders", "max-attempts": 1,
 		}},
 		[]map[string]any{{"name": "orders", "health-path": "/healthz", "max-connections": 96}},
-		[]map[string]any{{"name": "tenant", "api-keys": []string{"key-1"}}},
+		[]map[string]any{{"name": "workspace", wire.Keys: []string{"key-1"}}},
 	)
 	for i := range 2 {
 		r := &runner{id: fmt.Sprintf("i-%d", i), service: "orders", version: "v1", slots: 40, work: 20 * time.Millisecond, address: w.address(101+i, runnerPort)}
--- a/review/stand/restore.go
+++ b/review/stand/restore.go
@@ -21,14 +21,14 @@
 // process is killed and starts again.
 func playRestore(w *world) error {
 	routes := []map[string]any{{
-		"name": "r-menu", "host": host, "prefix": "/menu/", "route-type": "safe", "timeout-ms": 2000,
+		"name": "r-menu", "host": host, "prefix": "/menu/", wire.Kind: "safe", "timeout-ms": 2000,
 		"target-latency-ms": 300, "priority": 2, "service": "orders", "max-attempts": 2,
 	}}
 	services := []map[string]any{{"name": "orders", "health-path": "/healthz", "max-connections": 96}}
-	tenant := func(keys ...string) []map[string]any {
-		return []map[string]any{{"name": "tenant", "api-keys": keys}}
+	workspace := func(keys ...string) []map[string]any {
+		return []map[string]any{{"name": "workspace", wire.Keys: keys}}
 	}
-	w.configure(routes, services, tenant("key-kept", "key-revoked"))
+	w.configure(routes, services, workspace("key-kept", "key-revoked"))
 	r := &runner{id: "i-one", service: "orders", version: "v1", slots: 30, work: 5 * time.Millisecond, address: w.address(101, runnerPort)}
 	if err := w.startRunner(r); err != nil {
 		return err
@@ -39,7 +39,7 @@
 	time.Sleep(4 * time.Second)
 	before := w.store.backup()
 	time.Sleep(200 * time.Millisecond)
-	confirmed := w.configure(routes, services, tenant("key-kept"))
+	confirmed := w.configure(routes, services, workspace("key-kept"))
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	ran, late := make([]int, len(w.entries)), make([]int, len(w.entries))
@@ -71,7 +71,7 @@
 		w.store.restore(before)
 		w.add("store: back from a copy that is %v old", copyAge)
 		time.Sleep(rewriteTime)
-		w.rewrite(routes, services, tenant("key-kept"))
+		w.rewrite(routes, services, workspace("key-kept"))
 	}
 	wait.Wait()
 	total := 0
--- a/review/stand/resume.go
+++ b/review/stand/resume.go
@@ -28,11 +28,11 @@
 func playResume(w *world) error {
 	w.configure(
 		[]map[string]any{{
-			"name": "r-digest", "host": host, "prefix": "/digest/", "route-type": "streaming", "timeout-ms": streamTimeout.Milliseconds(),
+			"name": "r-digest", "host": host, "prefix": "/digest/", wire.Kind: "streaming", "timeout-ms": streamTimeout.Milliseconds(),
 			"target-latency-ms": streamObjective.Milliseconds(), "target-gap-ms": 300, "priority": 1, "service": "digest", "max-attempts": 2, "resumable": true,
 		}},
 		[]map[string]any{{"name": "digest", "health-path": "/healthz", "max-connections": 144}},
-		[]map[string]any{{"name": "tenant", "api-keys": []string{"key-1"}}},
+		[]map[string]any{{"name": "workspace", wire.Keys: []string{"key-1"}}},
 	)
 	for i := range 3 {
 		r := &runner{id: fmt.Sprintf("i-%d", i), service: "digest", version: "v1", slots: 60, work: 100 * time.Millisecond, events: 100, address: w.address(101+i, runnerPort)}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -11,19 +11,16 @@
 	"time"
 )
 
-// headerPrefix begins the protocol's own headers.
-const headerPrefix = "X-Cranberrypoint-"
-
 // Headers that runners and clients use.
-const (
-	headerID        = headerPrefix + "Request-Id"
-	headerExpect    = headerPrefix + "Expect-Instance"
-	headerInstance  = headerPrefix + "Instance-Id"
-	headerNotRun    = headerPrefix + "Not-Executed"
-	headerReceipt   = headerPrefix + "Response-Signature"
-	headerLoad      = headerPrefix + "Server-Load"
-	headerDeadline  = headerPrefix + "Deadline-Ms"
-	headerTenant    = headerPrefix + "Tenant-Id"
+var (
+	headerID        = wire.HeaderPrefix + "Request-Id"
+	headerExpect    = wire.HeaderPrefix + "Expect-Instance"
+	headerInstance  = wire.HeaderPrefix + "Instance-Id"
+	headerNotRun    = wire.HeaderPrefix + "Not-Executed"
+	headerReceipt   = wire.HeaderPrefix + "Response-Signature"
+	headerLoad      = wire.HeaderPrefix + "Server-Load"
+	headerDeadline  = wire.HeaderPrefix + "Deadline-Ms"
+	headerWorkspace = wire.HeaderPrefix + wire.HeaderWorkspace
 	headerLastEvent = "Last-Event-Id"
 	headerResumes   = "Resumes"
 )
@@ -73,7 +70,7 @@
 // register writes the runner's entry in the store.
 func (r *runner) register(state string) {
 	r.world.store.put("servers/"+r.id, map[string]any{
-		"service": r.service, "address": r.address, "zone": "east", "version": r.version, "slots": r.slots,
+		"service": r.service, "address": r.address, wire.DataCentre: "east", "version": r.version, "slots": r.slots,
 		"state": state, "cold-remaining-ms": 0, "born": r.born,
 	})
 }
@@ -156,7 +153,7 @@
 		return
 	}
 	defer r.free()
-	r.world.add("runner %s (version %s): runs %s for tenant %q, after event %q", r.id, r.version, id, q.Header.Get(headerTenant), q.Header.Get(headerLastEvent))
+	r.world.add("runner %s (version %s): runs %s for workspace %q, after event %q", r.id, r.version, id, q.Header.Get(headerWorkspace), q.Header.Get(headerLastEvent))
 	h.Set(headerReceipt, receipt(id))
 	h.Set(headerLoad, r.load())
 	if strings.Contains(q.URL.Path, streamPath) {
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -95,7 +95,7 @@
 	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	v := q.URL.Query()
 	switch q.URL.Path {
-	case "/kv-key":
+	case wire.ItemPath:
 		i, ok := s.items[v.Get("key")]
 		if !ok {
 			w.WriteHeader(http.StatusNotFound)
@@ -105,7 +105,7 @@
 			storeItem
 			AsOf uint64 `json:"as-of"`
 		}{i, s.revision})
-	case "/kv-range":
+	case wire.ItemsPath:
 		var l []storeItem
 		for _, k := range slices.Sorted(maps.Keys(s.items)) {
 			if strings.HasPrefix(k, v.Get("prefix")) && k > v.Get("after") {
--- a/review/stand/version.go
+++ b/review/stand/version.go
@@ -26,11 +26,11 @@
 func playVersion(w *world) error {
 	w.configure(
 		[]map[string]any{{
-			"name": "r-digest", "host": host, "prefix": "/digest/", "route-type": "streaming", "timeout-ms": streamTimeout.Milliseconds(),
+			"name": "r-digest", "host": host, "prefix": "/digest/", wire.Kind: "streaming", "timeout-ms": streamTimeout.Milliseconds(),
 			"target-latency-ms": 900, "target-gap-ms": 300, "priority": 1, "service": "digest", "max-attempts": 2, "resumable": true,
 		}},
 		[]map[string]any{{"name": "digest", "health-path": "/healthz", "max-connections": 144}},
-		[]map[string]any{{"name": "tenant", "api-keys": []string{"key-1"}}},
+		[]map[string]any{{"name": "workspace", wire.Keys: []string{"key-1"}}},
 	)
 	newRunner := func(id, version string, number int) *runner {
 		return &runner{id: id, service: "digest", version: version, slots: 12, work: 100 * time.Millisecond, events: 70, address: w.address(number, runnerPort)}
