intake: bound what callers make a process hold, and decide who gives way

Limits for each request can't help: 24 bodies of legal size are 100 MB.

The package has the decision apart from I/O: a Table counts what each connection holds (its goroutine and buffers, its head with what parsing makes of it, its body, and what waits unread) and says which one gives way for a newcomer. Those that have stopped within a request go first, then those that leave answers unread or send more behind a request, then those that brought nothing; a connection that was served is asked last. A quarter of the memory is left to small requests, so that large bodies can't keep them out. Requests of a workspace whose connections were just given up for misuse are refused while connections are scarce: otherwise a crowd that comes again at once would take each place that comes free.

Tests: the order of giving way, and sums and limits over random steps. Not used yet.

--- /dev/null
+++ b/coord/intake/table_test.go
@@ -0,0 +1,179 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// testLimits hold ten idle connections, or a few requests.
+var testLimits = Limits{MemoryBytes: 1 << 20, Conns: 10}
+
+// start is when the tests' tables begin.
+var start = time.Unix(1000, 0)
+
+// openAll opens connections with the IDs 1 to n.
+func openAll(t *testing.T, b *Table, now time.Time, n int) {
+	t.Helper()
+	for i := range n {
+		if v, ok := b.Open(now, ID(i+1), false); !ok || len(v) > 0 {
+			t.Fatalf("connection %d: ok %t, victims %v", i+1, ok, v)
+		}
+	}
+}
+
+// TestStalledConnectionGoesFirst opens as many connections as there may be. Of those, one has stopped within a body, one is
+// receiving, one is silent and one was served. For a newcomer they must go in this order: silent, stalled, receiving; the
+// one that was served only if nothing else is left and it is asked for.
+func TestStalledConnectionGoesFirst(t *testing.T) {
+	b := NewTable(Limits{MemoryBytes: 1 << 20, Conns: 4})
+	openAll(t, b, start, 4)
+	const stopped, arriving, quiet, idle = 1, 2, 3, 4
+	b.SetPhase(start, stopped, PhaseBody)
+	b.SetServed(idle)
+	now := start.Add(keptTime)
+	b.SetPhase(now, arriving, PhaseBody)
+	var got []ID
+	for i := range 3 {
+		v, ok := b.Open(now, ID(10+i), false)
+		if !ok {
+			t.Fatalf("newcomer %d has no room", i)
+		}
+		b.SetPhase(now, ID(10+i), PhaseRunning)
+		got = append(got, v...)
+	}
+	if d := cmp.Diff([]ID{stopped, quiet, arriving}, got); d != "" {
+		t.Errorf("connections given up (-want +got):\n%s", d)
+	}
+	if v, ok := b.Open(now, 20, false); ok {
+		t.Errorf("%v were given up although only a connection that was served and running ones are left", v)
+	}
+	v, ok := b.Open(now, 20, true)
+	if d := cmp.Diff([]ID{idle}, v); d != "" || !ok {
+		t.Errorf("ok %t, last one given up (-want +got):\n%s", ok, d)
+	}
+}
+
+// TestSmallRequestsHaveRoom fills the memory with large bodies that are arriving. A further large one must be refused, and a
+// small one taken.
+func TestSmallRequestsHaveRoom(t *testing.T) {
+	b := NewTable(testLimits)
+	openAll(t, b, start, 8)
+	taken := 0
+	for i := range ID(7) {
+		b.SetPhase(start, i+1, PhaseBody)
+		if _, ok := b.Grow(start, i+1, 200<<10); ok {
+			taken++
+		}
+	}
+	if d := cmp.Diff(2, taken); d != "" {
+		t.Errorf("large bodies (-want +got):\n%s", d)
+	}
+	if v, ok := b.Grow(start, 8, 10<<10); !ok || len(v) > 0 {
+		t.Errorf("a small request: ok %t, victims %v", ok, v)
+	}
+}
+
+// TestStalledBodyGivesWay lets bodies stop that fill the memory. Another large one must then get their room.
+func TestStalledBodyGivesWay(t *testing.T) {
+	b := NewTable(testLimits)
+	openAll(t, b, start, 4)
+	for i := range ID(2) {
+		b.SetPhase(start, i+1, PhaseBody)
+		if _, ok := b.Grow(start, i+1, 300<<10); !ok {
+			t.Fatalf("body %d has no room", i+1)
+		}
+	}
+	b.SetPhase(start, 3, PhaseBody)
+	if _, ok := b.Grow(start.Add(stallTime-1), 3, 300<<10); ok {
+		t.Error("a body got room before any other had stopped")
+	}
+	now := start.Add(stallTime)
+	b.Move(now, 2, minProgressBytes)
+	v, ok := b.Grow(now, 3, 300<<10)
+	if d := cmp.Diff([]ID{1}, v); d != "" || !ok {
+		t.Errorf("ok %t, given up (-want +got):\n%s", ok, d)
+	}
+}
+
+// TestMisuseIsHeldAgainstOwner gives a connection up whose answer isn't taken. While there is little room, requests of its
+// owner must be refused, and those of others not; later they must be taken again.
+func TestMisuseIsHeldAgainstOwner(t *testing.T) {
+	b := NewTable(testLimits)
+	openAll(t, b, start, 10)
+	for i := range ID(10) {
+		b.SetPhase(start, i+1, PhaseRunning)
+		if !b.SetOwner(start, i+1, "eve") {
+			t.Fatalf("request %d was refused", i+1)
+		}
+		b.SetBlocked(i+1, start)
+	}
+	now := start.Add(slowTime)
+	if v, ok := b.Open(now, 11, false); !ok || len(v) != 1 {
+		t.Fatalf("ok %t, victims %v", ok, v)
+	}
+	got := []bool{b.SetOwner(now, 11, "eve"), b.SetOwner(now, 11, "ada"), b.SetOwner(now.Add(misuseTime), 11, "eve")}
+	if d := cmp.Diff([]bool{false, true, true}, got); d != "" {
+		t.Errorf("requests of eve, ada, and of eve later are taken (-want +got):\n%s", d)
+	}
+}
+
+// TestSumsHold applies random steps. The sums must be those of the connections that are left, and never exceed the limits.
+func TestSumsHold(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		b := NewTable(testLimits)
+		now := start
+		last := ID(0)
+		id := func() ID { return ID(rapid.Uint64Range(1, uint64(last)+1).Draw(r, "id")) }
+		size := func() int64 { return rapid.Int64Range(0, 1<<19).Draw(r, "size") }
+		r.Repeat(map[string]func(*rapid.T){
+			"open": func(*rapid.T) {
+				last++
+				b.Open(now, last, rapid.Bool().Draw(r, "anyway"))
+			},
+			"close": func(*rapid.T) { b.Close(id()) },
+			"grow":  func(*rapid.T) { b.Grow(now, id(), size()) },
+			"phase": func(*rapid.T) { b.SetPhase(now, id(), Phase(rapid.IntRange(0, int(PhaseRefused)).Draw(r, "phase"))) },
+			"move":  func(*rapid.T) { b.Move(now, id(), size()) },
+			"serve": func(*rapid.T) { b.SetServed(id()) },
+			"block": func(*rapid.T) { b.SetBlocked(id(), now) },
+			"owner": func(*rapid.T) { b.SetOwner(now, id(), rapid.SampledFrom([]string{"ada", "eve"}).Draw(r, "owner")) },
+			"wait":  func(*rapid.T) { now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(r, "ms")) * time.Millisecond) },
+			"": func(r *rapid.T) {
+				open, total := 0, int64(0)
+				for _, a := range b.accounts {
+					if !a.evicted {
+						open++
+						total += a.cost()
+					}
+				}
+				if d := cmp.Diff([]int64{int64(open), total}, []int64{int64(b.open), b.total}); d != "" {
+					r.Fatalf("connections and bytes (-want +got):\n%s", d)
+				}
+				if open > testLimits.Conns || total > testLimits.MemoryBytes {
+					r.Fatalf("%d connections and %d bytes exceed %v", open, total, testLimits)
+				}
+			},
+		})
+	})
+}
+
+// TestLimitsLeaveRoom checks the limits for VMs of the sizes that are in use: a body of the largest usual size must fit some times
+// over, and hundreds of connections.
+func TestLimitsLeaveRoom(t *testing.T) {
+	const body = 4 << 20
+	for _, c := range []struct {
+		memoryMB int64
+		files    int
+	}{{112, 4100}, {120, 2870}, {134, 4100}, {536, 8192}, {0, 0}} {
+		l := LimitsFor(c.memoryMB<<20, c.files)
+		if n := l.largeBytes() / body; n < 8 || l.Conns < 800 || l.UpstreamConns < 1000 {
+			t.Errorf("%d MB and %d descriptors: room for %d bodies, %d connections, %d to upstreams", c.memoryMB, c.files, n, l.Conns, l.UpstreamConns)
+		}
+		if l.MemoryBytes > c.memoryMB<<19 && c.memoryMB > 0 {
+			t.Errorf("%d MB: callers may hold more than half, %d bytes", c.memoryMB, l.MemoryBytes)
+		}
+	}
+}
