proxy: what callers make an entry hold stays within its memory and descriptors

What callers saw: an entry that was sent many large bodies, heads without end or many connections exceeded its memory and was killed, and with it all requests that it served.

Cause: readBody read each body whole, by io.ReadAll, whose buffers are up to twice the body, and kept it until the request ended; the sum had no bound. A head could be 256 KB before it was compared with the configured 16 KB, and its fields are parsed into a map of many times their size. Connections had no bound, and so the kernel's buffers hadn't.

Change: an intake.Guard on the listener of callers. Bodies are read in pieces of 32 KB at most (no copies), a length that was announced is reserved before the first byte, chunks as they come; without room the request is refused with 503 and Retry-After before it is sent anywhere, so that "not run" is true. A head is cut off at its limit while it arrives. The body of a plain request is dropped once it was written and its answer has begun, as it isn't sent again then. Requests that are refused with a large body behind them close the connection instead of having 256 KB read. Connections to upstreams have a bound in all, for which idle ones make room. A body that can never fit gets 413 at once.

The sum of what is held is bounded by the same number that decides who gives way, so no order of arrival exceeds it; what the runtime hasn't collected yet is in the other part of the memory.

--- a/coord/admit/engine.go
+++ b/coord/admit/engine.go
@@ -106,7 +106,7 @@
 		Target: path,
 		Host:   m.settings.Upstream,
 		Header: h,
-		Body:   body,
+		Body:   [][]byte{body},
 		Group:  upconn.ControlGroup,
 	})
 	if err != nil {
--- a/coord/fault/fault.go
+++ b/coord/fault/fault.go
@@ -65,6 +65,8 @@
 	VersionGone Code = "version_gone"
 	// OutOfRegion means that no upstream is in a region in which the request may run.
 	OutOfRegion Code = "no_upstream_in_region"
+	// NoRoom means that the process holds as much for its callers as it may.
+	NoRoom Code = "no_room"
 	// NotReady means that the process can't serve requests yet or for now.
 	NotReady Code = "not_ready"
 )
--- a/coord/upconn/conn.go
+++ b/coord/upconn/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"cranberrypoint.example/coord/intake"
 	"golang.org/x/sys/unix"
 )
 
@@ -135,7 +136,10 @@
 func newDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout: dialTimeout,
-		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, tcpUserTimeout) },
+		Control: func(_, _ string, c syscall.RawConn) error {
+			intake.BoundReceiveBuffer(c)
+			return setUserTimeout(c, tcpUserTimeout)
+		},
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveInterval,
--- a/coord/upconn/slow_test.go
+++ b/coord/upconn/slow_test.go
@@ -45,7 +45,7 @@
 func TestSlowUploadIsNotCut(t *testing.T) {
 	address := startSlowReader(t, tcpUserTimeout+2*time.Second)
 	q := newRequest("1")
-	q.Body = bytes.Repeat([]byte("x"), 16<<20)
+	q.Body = [][]byte{bytes.Repeat([]byte("x"), 16<<20)}
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	r, err := newPool(t).Do(ctx, address, q)
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -50,7 +50,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is in pieces.
+	Body [][]byte
 	// ForceContentLength sends a Content-Length header even if the body is empty.
 	ForceContentLength bool
 	// MaxConns bounds the connections of the pool to the address; 0 for no bound. Callers set
@@ -76,6 +77,14 @@
 	NewConn bool
 }
 
+// bodySize returns the size of the body in bytes.
+func (q *Request) bodySize() (n int) {
+	for _, p := range q.Body {
+		n += len(p)
+	}
+	return n
+}
+
 // Response is an upstream's response. Body must be closed. Closing it before its end closes
 // the connection.
 type Response struct {
@@ -86,7 +95,9 @@
 	Length int64
 	// Framing is what marks the end of the body.
 	Framing frame.Framing
-	Body    io.ReadCloser
+	// RequestWritten is true if the whole request was written before the response began.
+	RequestWritten bool
+	Body           io.ReadCloser
 }
 
 // Error is the failure of a request for which Do returns no response: it was not sent, or no
@@ -125,16 +136,27 @@
 	mu   sync.Mutex
 	idle map[idleKey][]*conn
 	// open counts the connections to an address, including those being dialed.
-	open   map[string]int
-	closed bool
+	open map[string]int
+	// total is the sum of open, and maxTotal its bound; 0 for none.
+	total, maxTotal int
+	closed          bool
 	// onDial is called after each successful dial, if not nil.
 	onDial func()
 }
 
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithMaxTotal bounds the connections to all addresses together. Idle ones make room for others.
+func WithMaxTotal(n int) Option { return func(p *Pool) { p.maxTotal = n } }
+
 // NewPool returns a pool and a function that closes the pool's idle connections; after it the
 // pool keeps no idle connections. If onDial is not nil, it is called after each successful dial.
-func NewPool(onDial func()) (p *Pool, closePool func()) {
+func NewPool(onDial func(), opts ...Option) (p *Pool, closePool func()) {
 	p = &Pool{idle: map[idleKey][]*conn{}, open: map[string]int{}, onDial: onDial}
+	for _, o := range opts {
+		o(p)
+	}
 	return p, p.close
 }
 
@@ -229,6 +251,7 @@
 
 // dial opens a new connection.
 func (p *Pool) dial(ctx context.Context, address string, maxConns int) (*conn, error) {
+	p.closeExcess()
 	if !p.reserveConn(address, maxConns) {
 		return nil, ErrMaxConns
 	}
@@ -246,15 +269,41 @@
 	return c, nil
 }
 
+// closeExcess closes an idle connection to any address if all connections that the pool may have are open.
+func (p *Pool) closeExcess() {
+	p.mu.Lock()
+	var c *conn
+	if p.maxTotal > 0 && p.total >= p.maxTotal {
+		c = p.removeAnyIdle()
+	}
+	p.mu.Unlock()
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
+// removeAnyIdle removes and returns the idle connection of some address that was used first; nil if none is idle. p.mu must be
+// held.
+func (p *Pool) removeAnyIdle() *conn {
+	for k, l := range p.idle {
+		if len(l) > 0 {
+			p.idle[k] = l[1:]
+			return l[0]
+		}
+	}
+	return nil
+}
+
 // reserveConn counts a connection that is about to be dialed. It returns false if maxConns
-// are open already.
+// are open already, or as many as the pool may have.
 func (p *Pool) reserveConn(address string, maxConns int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if maxConns > 0 && p.open[address] >= maxConns {
+	if maxConns > 0 && p.open[address] >= maxConns || p.maxTotal > 0 && p.total >= p.maxTotal {
 		return false
 	}
 	p.open[address]++
+	p.total++
 	return true
 }
 
@@ -262,6 +311,7 @@
 func (p *Pool) releaseConn(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.total--
 	if p.open[address]--; p.open[address] <= 0 {
 		delete(p.open, address)
 	}
@@ -294,16 +344,21 @@
 	written = make(chan error, 1)
 	var b bytes.Buffer
 	writeHead(&b, q)
-	if len(q.Body) <= maxSyncBodyBytes {
-		b.Write(q.Body)
+	if q.bodySize() <= maxSyncBodyBytes {
+		for _, p := range q.Body {
+			b.Write(p)
+		}
 		_, err := c.Write(b.Bytes())
 		written <- err
 		return written
 	}
 	go func() {
 		_, err := c.Write(b.Bytes())
-		if err == nil {
-			_, err = c.Write(q.Body)
+		for _, p := range q.Body {
+			if err != nil {
+				break
+			}
+			_, err = c.Write(p)
 		}
 		written <- err
 	}()
@@ -313,8 +368,8 @@
 // writeHead writes the request line and the headers.
 func writeHead(b *bytes.Buffer, q *Request) {
 	b.WriteString(q.Method + " " + q.Target + " HTTP/1.1\r\nHost: " + q.Host + "\r\n")
-	if len(q.Body) > 0 || q.ForceContentLength {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
+	if n := q.bodySize(); n > 0 || q.ForceContentLength {
+		b.WriteString("Content-Length: " + strconv.Itoa(n) + "\r\n")
 	}
 	// This client sets the host and the body's framing itself, so these three are dropped from
 	// the caller's header.
@@ -326,7 +381,7 @@
 // the response calls detachContext at its end; see responseBody.
 func (p *Pool) roundTrip(address string, c *conn, q *Request, detachContext func() bool) (r *Response, err error) {
 	defer fault.Annotate(&err, "%s", address)
-	if len(q.Body) > maxSyncBodyBytes {
+	if q.bodySize() > maxSyncBodyBytes {
 		defer c.allowSlowReader()()
 	}
 	written := writeRequest(c, q)
@@ -348,7 +403,7 @@
 	if q.CloseAfter != nil && q.CloseAfter(resp.Header) || q.HasRequestID != nil && !q.HasRequestID(resp.Header) {
 		b.reuse = false
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: body.Length, Framing: f, Body: b}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: body.Length, Framing: f, RequestWritten: requestWritten, Body: b}, nil
 }
 
 // readResponse reads the head of the response to q. It skips interim responses. It also skips
--- a/coord/upconn/upconn_test.go
+++ b/coord/upconn/upconn_test.go
@@ -65,7 +65,7 @@
 // newRequest returns a request that only responses with its id match.
 func newRequest(id string) *Request {
 	return &Request{
-		Method: http.MethodPost, Target: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("b"),
+		Method: http.MethodPost, Target: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte("b")},
 		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
 	}
 }
@@ -252,7 +252,7 @@
 	}()
 	p := newPool(t)
 	q := newRequest("1")
-	q.Body = []byte(strings.Repeat("x", 16<<20))
+	q.Body = [][]byte{[]byte(strings.Repeat("x", 16<<20))}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	r, err := p.Do(ctx, l.Addr().String(), q)
--- a/entry/proxy/callers.go
+++ b/entry/proxy/callers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/rules"
 	"golang.org/x/sys/unix"
 )
@@ -97,7 +98,7 @@
 // connContext adds the connection to the context of its requests, as http.Server.ConnContext.
 func (c *connTracker) connContext(ctx context.Context, n net.Conn) context.Context {
 	if x, ok := n.(*clientConn); ok {
-		ctx = frame.WithConn(ctx, x.Conn)
+		ctx = intake.WithConn(frame.WithConn(ctx, x.Conn), x.Conn)
 	}
 	return context.WithValue(ctx, connKey{}, n)
 }
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -12,6 +12,7 @@
 	"cranberrypoint.example/coord/calls"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/origin"
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/region"
@@ -34,7 +35,12 @@
 	route    *rules.Route
 	service  *rules.Service
 	path     string
-	body     []byte
+	// conn is the caller's connection; nil if it isn't guarded. body was read whole if hasBody is true, and bodyBytes of
+	// memory were taken for it.
+	conn      *intake.Conn
+	body      intake.Body
+	hasBody   bool
+	bodyBytes int64
 	// fingerprint identifies the request among all that callers send; see poison.Fingerprint. It is empty
 	// until the body was read.
 	fingerprint string
@@ -188,6 +194,7 @@
 		// read, and without a response the standard library's server would send a 200.
 		x.record.outcome = outcomeCallerLeft
 	}
+	x.refuseBody()
 	h := x.w.Header()
 	p.codec.SetRequestID(h, x.call.ID)
 	if !e.RetryAt.IsZero() && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -111,6 +111,7 @@
 	if resp.Status >= http.StatusInternalServerError && p.mayRetry(x) && p.drawRetryBudget(x, x.attempts, repeatRun) {
 		return p.retryElsewhere(x, u, resp, info)
 	}
+	x.releaseBody(resp)
 	p.deliver(x, u, resp, info, "call", false)
 	return true, nil
 }
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"cranberrypoint.example/coord/evac"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/limits"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/mesh"
@@ -90,8 +91,10 @@
 	LimitOverdraft int64
 	// ColdBound is by how much all entries may exceed the limits of cold upstreams; zero for a default.
 	ColdBound pacer.Bound
-	Store     calls.Store
-	Codec     calls.Codec
+	// Intake are the limits of what callers may make this entry hold; zero for defaults.
+	Intake intake.Limits
+	Store  calls.Store
+	Codec  calls.Codec
 	// EngineCodec is for engines without an agent, which this entry may manage.
 	EngineCodec calls.EngineCodec
 	Log         logrus.FieldLogger
@@ -133,6 +136,8 @@
 	shutdown       atomic.Pointer[shutdown]
 	activeRequests atomic.Int64
 	clientConns    *connTracker
+	// intake bounds what callers make this entry hold.
+	intake *intake.Guard
 	// coldShares are those of the limits of cold upstreams as of the last heartbeat.
 	coldShares atomic.Pointer[coldShares]
 	// stoppedAccepting is closed once no more connections of callers are accepted.
@@ -250,7 +255,6 @@
 		heardLeaving:      map[string]hearsay{},
 		loggedLimits:      map[string]float64{},
 		starts:            map[string]int64{},
-		clientConns:       newConnTracker(listeners[0]),
 		stoppedAccepting:  make(chan struct{}),
 		poison:            poison.New(),
 		origins:           origin.NewTable(),
@@ -259,11 +263,13 @@
 		returnedAt:        map[string]time.Time{},
 		sendsTo:           map[string]int{},
 	}
+	p.settings.Intake = cmp.Or(s.Intake, intake.LimitsFor(0, 0))
+	p.guardCallers(listeners[0])
 	p.settings.ColdBound = cmp.Or(s.ColdBound, pacer.DefaultBound)
 	p.pacer = pacer.New(p.limitShare, pacer.WithColdShare(p.coldShare))
 	p.SetRegions(s.Regions)
 	var closeConns func()
-	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc)
+	p.conns, closeConns = upconn.NewPool(p.metrics.connections.Inc, upconn.WithMaxTotal(p.settings.Intake.UpstreamConns))
 	self := &wire.Member{
 		Name:        s.VM,
 		Role:        mesh.RoleEntry,
@@ -282,13 +288,14 @@
 	p.http = &http.Server{
 		Handler:        frame.Handler(p),
 		MaxHeaderBytes: maxHeaderBytes,
-		ConnState:      p.clientConns.trackState,
+		ConnState:      p.trackConn,
 		ConnContext:    p.clientConns.connContext,
 	}
 	p.tasks.Go(p.serveCallers)
 	p.tasks.Go(func() { _ = link.ServeMesh(ctx, listeners[1], nil, p) })
 	p.tasks.Go(p.pollConfig)
 	p.tasks.Go(p.enforceClientTimeouts)
+	p.tasks.Go(func() { p.intake.Run(ctx) })
 	return p, func() {
 		_ = p.http.Close()
 		cancel()
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -212,6 +212,7 @@
 	p.metrics.answers.WithLabelValues(string(x.record.framing), string(x.record.end)).Inc()
 	if err == nil {
 		x.record.outcome = outcomeAnswered
+		x.conn.SetServed()
 		p.learnFromAnswer(x, u, info)
 		p.recordResult(x, u, statusResult(resp.Status), info.Load, purpose)
 		return
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/rules"
 	"cranberrypoint.example/coord/wire"
@@ -43,8 +43,10 @@
 	if p.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{w: w, r: r, firstByteAt: began, arrived: time.Now()}
+	x := &exchange{w: w, r: r, firstByteAt: began, arrived: time.Now(), conn: intake.FromContext(r.Context())}
 	x.setWriteDeadline(x.arrived.Add(defaultTimeout))
+	// The server reads the rest of the body of a request that is refused. An error means that the writer is a test's.
+	_ = http.NewResponseController(w).SetReadDeadline(x.arrived.Add(defaultTimeout))
 	x.record.outcome = outcomeIncomplete
 	defer p.finish(x)
 	if e := p.admit(x); e != nil {
@@ -75,11 +77,15 @@
 
 // admit validates and authenticates a request, reads its body and applies the rate limit.
 func (p *Proxy) admit(x *exchange) *fault.Error {
+	hasRoom := x.conn.Begin()
 	c, err := p.codec.RequestInfo(x.r.Header)
 	if err != nil {
 		return fault.NotRun(fault.BadRequest, "%v", err)
 	}
 	x.call = c
+	if !hasRoom {
+		return noRoomFault()
+	}
 	v := p.snapshot.Load()
 	if v == nil {
 		return p.notReadyFault("no configuration is known yet")
@@ -141,6 +147,10 @@
 	} else if x.call.Key != "" && v.isFresh(p.settings.ConfigMaxAge) {
 		x.workspace = v.rules.Workspace(x.call.Key)
 	}
+	if !x.conn.SetOwner(x.workspaceName()) {
+		x.close()
+		return noRoomFault()
+	}
 	x.service = v.rules.Service(x.route.Pick(rand.Int()))
 	if x.service == nil {
 		return fault.NotRun(fault.Unreachable, "the route has no service").WithRetryAt(time.Now().Add(notReadyRetryAfter))
@@ -170,28 +180,29 @@
 // server notices a caller who leaves.
 func (p *Proxy) readBody(x *exchange, l rules.Limits) *fault.Error {
 	c := http.NewResponseController(x.w)
-	maxBytes := l.MaxBodyBytes
-	if maxBytes > 0 && x.r.ContentLength > maxBytes {
+	maxBytes := p.maxBodyBytes(l.MaxBodyBytes)
+	if x.r.ContentLength > maxBytes {
 		return fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", maxBytes)
 	}
 	_ = c.SetReadDeadline(x.deadline)
-	r := io.Reader(x.r.Body)
-	if maxBytes > 0 {
-		r = http.MaxBytesReader(x.w, x.r.Body, maxBytes)
-	}
-	b, err := io.ReadAll(r)
+	held := x.conn.Held()
+	b, err := x.conn.ReadBody(http.MaxBytesReader(x.w, x.r.Body, maxBytes), x.r.ContentLength)
+	x.bodyBytes = x.conn.Held() - held
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", maxBytes)
+	case errors.Is(err, intake.ErrNoRoom):
+		return noRoomFault()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault.NotRun(fault.RequestTimeout, "the body didn't come in time")
 	case err != nil:
 		return fault.NotRun(fault.BadRequest, "the body can't be read: %v", err)
 	}
 	_ = c.SetReadDeadline(time.Time{})
-	x.body = b
-	x.fingerprint = poison.Fingerprint(x.workspaceName(), x.r.Method, hostWithoutPort(x.r.Host), x.r.RequestURI, b)
+	x.conn.Arrived()
+	x.body, x.hasBody = b, true
+	x.fingerprint = poison.Fingerprint(x.workspaceName(), x.r.Method, hostWithoutPort(x.r.Host), x.r.RequestURI, b...)
 	x.poisonKeys = poison.Keys(x.fingerprint, x.call.PromptParts)
 	return nil
 }
