engine: encode prompts while they are sent

Cause: an agent held a prompt four to ten times: the message, a string of it for the call, and its JSON, in which each control character takes six bytes, in buffers that grow by doubling.

Change: the JSON around the prompt is marshalled without it, and the prompt is escaped while the request is written. Its size is counted before, so that the request still has a length.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -146,11 +146,11 @@
 // Base returns the base URL of the engine.
 func (c *Client) Base() string { return c.base }
 
-// Prefill computes the KV cache of a prompt. The engine keeps it for export to another
+// Prefill computes the KV cache of a prompt, which p doesn't have. The engine keeps it for export to another
 // engine under PrefillResult.Handle.
-func (c *Client) Prefill(ctx context.Context, p Prefill) (r PrefillResult, err error) {
+func (c *Client) Prefill(ctx context.Context, p Prefill, prompt []byte) (r PrefillResult, err error) {
 	defer fault.Annotate(&err, "prefill")
-	r, err = post[PrefillResult](ctx, c, "/v1/prefill", p)
+	r, err = post[PrefillResult](ctx, c, "/v1/prefill", p, prompt)
 	if err == nil && r.Handle == "" {
 		err = eris.New("the answer names no handle")
 	}
@@ -160,14 +160,14 @@
 // Import makes the engine copy a KV cache from the engine at i.Source.
 func (c *Client) Import(ctx context.Context, i Import) (err error) {
 	defer fault.Annotate(&err, "import KV cache")
-	_, err = post[struct{}](ctx, c, "/v1/kv/import", i)
+	_, err = post[struct{}](ctx, c, "/v1/kv/import", i, nil)
 	return err
 }
 
 // Cancel stops a request and frees the memory that the engine has allocated for it.
 func (c *Client) Cancel(ctx context.Context, request string) (err error) {
 	defer fault.Annotate(&err, "cancel")
-	_, err = post[struct{}](ctx, c, "/v1/cancel", Cancel{request})
+	_, err = post[struct{}](ctx, c, "/v1/cancel", Cancel{request}, nil)
 	return err
 }
 
@@ -175,7 +175,7 @@
 // Order returns an error and the largest fencing token that the engine has seen.
 func (c *Client) Order(ctx context.Context, o Order) (newestFencingToken uint64, err error) {
 	defer fault.Annotate(&err, "order for model %s (load: %t)", o.Model, o.Load)
-	_, err = post[struct{}](ctx, c, "/v1/orders", o)
+	_, err = post[struct{}](ctx, c, "/v1/orders", o, nil)
 	var s *StatusError
 	if errors.As(err, &s) && s.Status == http.StatusPreconditionFailed {
 		var stale StaleOrder
@@ -188,7 +188,7 @@
 // ListAllocations lists the requests for which the engine has memory allocated.
 func (c *Client) ListAllocations(ctx context.Context) (a Allocations, err error) {
 	defer fault.Annotate(&err, "list allocations")
-	resp, err := c.do(ctx, http.MethodGet, "/v1/held", nil)
+	resp, err := c.do(ctx, http.MethodGet, "/v1/held", nil, nil)
 	if err != nil {
 		return Allocations{}, err
 	}
@@ -196,11 +196,11 @@
 	return a, json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&a)
 }
 
-// Decode generates a response and calls f with the text of each token. It returns f's error,
-// and io.ErrUnexpectedEOF if the response ends without its end marker.
-func (c *Client) Decode(ctx context.Context, d Decode, f func(text string) error) (err error) {
+// Decode generates a response to a prompt, which d doesn't have, and calls f with the text of each token. It returns f's
+// error, and io.ErrUnexpectedEOF if the response ends without its end marker.
+func (c *Client) Decode(ctx context.Context, d Decode, prompt []byte, f func(text string) error) (err error) {
 	defer fault.Annotate(&err, "decode")
-	resp, err := c.do(ctx, http.MethodPost, "/v1/decode", d)
+	resp, err := c.do(ctx, http.MethodPost, "/v1/decode", d, prompt)
 	if err != nil {
 		return err
 	}
@@ -224,10 +224,10 @@
 	return eris.Wrap(io.ErrUnexpectedEOF, "response has no end marker")
 }
 
-// post sends in as JSON and returns the decoded response body; for an empty body it returns
+// post sends in, with a prompt if there is one, as JSON and returns the decoded response body; for an empty body it returns
 // the zero value.
-func post[T any](ctx context.Context, c *Client, path string, in any) (out T, err error) {
-	resp, err := c.do(ctx, http.MethodPost, path, in)
+func post[T any](ctx context.Context, c *Client, path string, in any, prompt []byte) (out T, err error) {
+	resp, err := c.do(ctx, http.MethodPost, path, in, prompt)
 	if err != nil {
 		return out, err
 	}
@@ -239,16 +239,16 @@
 	return out, err
 }
 
-// do sends a request with in as its JSON body, or without a body if in is nil. The caller
+// do sends a request with in and a prompt as its JSON body, or without a body if in is nil. The caller
 // closes the body of the response, whose status is 200 OK.
-func (c *Client) do(ctx context.Context, method, path string, in any) (*http.Response, error) {
+func (c *Client) do(ctx context.Context, method, path string, in any, prompt []byte) (*http.Response, error) {
 	var body io.Reader
+	var size int64
 	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
+		var err error
+		if body, size, err = requestBody(in, prompt); err != nil {
 			return nil, err
 		}
-		body = bytes.NewReader(b)
 	}
 	u, err := url.JoinPath(c.base, path)
 	if err != nil {
@@ -258,6 +258,7 @@
 	if err != nil {
 		return nil, err
 	}
+	req.ContentLength = size
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, err
--- a/agent/engine/engine_test.go
+++ b/agent/engine/engine_test.go
@@ -21,9 +21,9 @@
 	defer s.Close()
 	c := New(s.URL)
 	for name, call := range map[string]func(context.Context) error{
-		"prefill":     func(ctx context.Context) error { _, err := c.Prefill(ctx, Prefill{}); return err },
+		"prefill":     func(ctx context.Context) error { _, err := c.Prefill(ctx, Prefill{}, nil); return err },
 		"allocations": func(ctx context.Context) error { _, err := c.ListAllocations(ctx); return err },
-		"decode":      func(ctx context.Context) error { return c.Decode(ctx, Decode{}, nil) },
+		"decode":      func(ctx context.Context) error { return c.Decode(ctx, Decode{}, nil, nil) },
 	} {
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		if err := call(ctx); err == nil || errors.Is(err, context.DeadlineExceeded) {
@@ -42,7 +42,7 @@
 		}
 	}))
 	defer s.Close()
-	if r, err := New(s.URL).Prefill(t.Context(), Prefill{}); err == nil {
+	if r, err := New(s.URL).Prefill(t.Context(), Prefill{}, nil); err == nil {
 		t.Errorf("result %v; want an error", r)
 	}
 }
@@ -61,7 +61,7 @@
 	c := New("http://" + address)
 	var got []string
 	for range 2 {
-		r, err := c.Prefill(t.Context(), Prefill{})
+		r, err := c.Prefill(t.Context(), Prefill{}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/agent/host/call.go
+++ b/agent/host/call.go
@@ -107,10 +107,9 @@
 	p, err := h.engine.Prefill(ctx, engine.Prefill{
 		Request:    x.Run.String(),
 		Model:      x.Open.Model,
-		Prompt:     string(x.Open.Prompt),
 		SkipTokens: x.Open.SkipTokens,
 		Priority:   priority(x.Open),
-	})
+	}, x.Open.Prompt)
 	if err != nil {
 		return nil, h.engineError(ctx, err)
 	}
@@ -141,11 +140,10 @@
 	err = h.engine.Decode(ctx, engine.Decode{
 		Request:    name,
 		Model:      x.Open.Model,
-		Prompt:     string(x.Open.Prompt),
 		MaxTokens:  x.Open.MaxTokens,
 		SkipTokens: x.Open.SkipTokens,
 		Priority:   priority(x.Open),
-	}, func(t string) error {
+	}, x.Open.Prompt, func(t string) error {
 		n++
 		h.step(worker.CallData{Run: x.Run, Data: []byte(t), Tokens: 1})
 		return c.waitWhilePaused(ctx)
