host: what runs make an agent hold stays within its memory and descriptors

What callers saw: an agent that got many large bodies or prompts exceeded its memory, with all runs of its upstream.

Cause: the agent buffered each body as fast as its entry sent it, whatever the upstream read, in a slice that grows by doubling and is cut off at its front; prompts waited in its queue without a bound.

Change: settings -memory-mb and -max-files (0: as for 512 MB and 8192), from which the limits follow as at an entry. A run takes memory for its prompt and announced body before the worker sees it, and is refused ("ran: no", with a time to come back) without. Bodies without a length take it as they come; if there is none, the call ends as one whose outcome is unknown. Parts are passed on as they arrived, without copies. Streams have a bound too. Small parts of an answer no longer keep the whole buffer into which they were read.

--- a/agent/host/command.go
+++ b/agent/host/command.go
@@ -7,6 +7,7 @@
 
 	"cranberrypoint.example/coord/cmdln"
 	"cranberrypoint.example/coord/conf"
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/coord/worker"
 	"github.com/google/subcommands"
@@ -70,6 +71,7 @@
 		return e
 	}
 	l := c.settings.Logger()
+	intake.LimitRuntime(int64(c.settings.MemoryMB) << 20)
 	sig, stopCatching := cmdln.Signals(ctx)
 	defer stopCatching()
 	h, stop, err := Start(c.settings, l)
--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -75,6 +75,8 @@
 	// ctx ends when the agent stops.
 	ctx   context.Context
 	tasks tasks.Group
+	// memory bounds what runs make this agent hold.
+	memory *memory
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -123,6 +125,7 @@
 	// incarnation identifies this start of the process. It is larger at each start, so that
 	// others can tell that the agent has restarted.
 	incarnation := uint64(now.UnixNano())
+	limits := s.Intake()
 	h = &Host{
 		settings:      s,
 		log:           l,
@@ -134,6 +137,7 @@
 		opsAddress:    sockets.Ops.Addr().String(),
 		startedAt:     now,
 		ctx:           ctx,
+		memory:        &memory{limit: limits.MemoryBytes, maxStreams: limits.UpstreamConns},
 		worker:        worker.New(now, incarnation, worker.WithSlots(s.Slots)),
 		quotaHolder:   quota.NewHolder(),
 		reconciler:    orders.New(incarnation),
@@ -141,6 +145,7 @@
 		calls:         map[worker.RunID]*call{},
 		cancelReplies: map[uint64]chan wire.Ran{},
 	}
+	h.metrics.addMemory(h.memory)
 	h.trace.Add(now, trace.Event{Kind: trace.Incarnated})
 	stopServers := h.startTasks(sockets, incarnation)
 	return h, func() {
--- a/agent/host/serve.go
+++ b/agent/host/serve.go
@@ -14,7 +14,7 @@
 	defer h.mu.Unlock()
 	h.lastID++
 	id := worker.StreamID(h.lastID)
-	o := newOutbox()
+	o := newOutbox(h.memory)
 	h.outboxes[id] = o
 	return id, o
 }
@@ -33,7 +33,7 @@
 	if o := h.outboxes[h.worker.StreamOf(id)]; o != nil {
 		return o.body
 	}
-	b := newBody()
+	b := newBody(h.memory)
 	_ = b.Close()
 	return b
 }
--- a/agent/host/stream.go
+++ b/agent/host/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 
 	"cranberrypoint.example/coord/wire"
@@ -20,10 +19,12 @@
 	changed chan struct{}
 	// body is the request body that arrives on the same stream.
 	body *body
+	// opened is the memory that was taken for the run, without its body. Only the receiver of the stream uses it.
+	opened int64
 }
 
-func newOutbox() *outbox {
-	return &outbox{changed: make(chan struct{}, 1), body: newBody()}
+func newOutbox(m *memory) *outbox {
+	return &outbox{changed: make(chan struct{}, 1), body: newBody(m)}
 }
 
 func (o *outbox) put(m *wire.RunReply) {
@@ -81,67 +82,6 @@
 	}
 }
 
-// body buffers a request body between the stream from the entry and the call to the upstream.
-// The entry limits its size by the max-body setting of the route.
-type body struct {
-	mu   sync.Mutex
-	cond *sync.Cond
-	data []byte
-	// complete is true once all of the body has arrived or Close was called.
-	complete bool
-	// truncated is true if the stream ended before the body was complete.
-	truncated bool
-}
-
-func newBody() *body {
-	b := &body{}
-	b.cond = sync.NewCond(&b.mu)
-	return b
-}
-
-func (b *body) add(m *wire.Body) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.data = append(b.data, m.Data...)
-	b.complete = b.complete || m.End
-	b.cond.Broadcast()
-}
-
-// streamEnded marks the body as truncated unless it is complete.
-func (b *body) streamEnded() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.truncated = !b.complete
-	b.cond.Broadcast()
-}
-
-// Close marks the body as complete, even if parts of it have not arrived: a waiting Read
-// returns, and no Read waits any more. The upstream client calls it when it needs no more of
-// the body, and bodyOfRun to make an empty body. It never fails.
-func (b *body) Close() error {
-	b.add(&wire.Body{End: true})
-	return nil
-}
-
-// Read waits for data. After the last byte it returns io.EOF, or io.ErrUnexpectedEOF if the
-// body is truncated.
-func (b *body) Read(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for len(b.data) == 0 && !b.complete && !b.truncated {
-		b.cond.Wait()
-	}
-	if len(b.data) == 0 && b.truncated {
-		return 0, io.ErrUnexpectedEOF
-	}
-	if len(b.data) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(p, b.data)
-	b.data = b.data[n:]
-	return n, nil
-}
-
 // Run serves one stream from an entry, which carries the messages of one run.
 func (h *Host) Run(s wire.DRPCAgent_RunStream) error {
 	id, o := h.addStream()
@@ -152,6 +92,11 @@
 	go func() {
 		// When no more messages can arrive, sending ends too.
 		defer cancel()
+		defer func() {
+			if o.opened > 0 {
+				h.memory.close(o.opened)
+			}
+		}()
 		for {
 			m, err := s.Recv()
 			if err != nil {
@@ -169,6 +114,12 @@
 func (h *Host) handleMessage(id worker.StreamID, o *outbox, m *wire.RunRequest) {
 	switch k := m.Kind.(type) {
 	case *wire.RunRequest_Open:
+		if !h.takeMemory(o, k.Open) {
+			h.metrics.noMemory.Inc()
+			o.put(noMemoryReply())
+			o.close()
+			return
+		}
 		h.step(worker.Opened{Stream: id, Open: k.Open})
 	case *wire.RunRequest_Resume:
 		h.step(worker.Resumed{Stream: id, Resume: k.Resume})
@@ -185,3 +136,18 @@
 		h.step(worker.StopReceived{Stream: id})
 	}
 }
+
+// takeMemory takes the memory for a run and its body. It returns false if there is none.
+func (h *Host) takeMemory(o *outbox, m *wire.Open) bool {
+	total, body := openBytes(m)
+	if o.opened > 0 {
+		// Only the first message opens a run.
+		return true
+	}
+	if !h.memory.open(total) {
+		return false
+	}
+	o.opened = total - body
+	o.body.reserve(body)
+	return true
+}
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -4,6 +4,7 @@
 package plain
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -130,7 +131,7 @@
 		b := make([]byte, readBufferBytes)
 		n, err := r.Read(b)
 		if n > 0 {
-			if err := s.Data(b[:n]); err != nil {
+			if err := s.Data(shrink(b[:n])); err != nil {
 				return err
 			}
 		}
@@ -143,6 +144,14 @@
 	}
 }
 
+// shrink returns a part that was read without the rest of its buffer, if that is most of it.
+func shrink(p []byte) []byte {
+	if len(p) >= cap(p)/2 {
+		return p
+	}
+	return bytes.Clone(p)
+}
+
 // WireHeaders converts headers to protobuf messages, without the hop-by-hop headers, which
 // concern only one connection.
 func WireHeaders(h http.Header) []*wire.Header {
--- a/coord/conf/conf.go
+++ b/coord/conf/conf.go
@@ -19,6 +19,7 @@
 	"strings"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/intake"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -55,6 +56,9 @@
 	TLSCA string
 	// TraceSize is the number of recent events that the process keeps (package trace).
 	TraceSize int
+	// MemoryMB is the memory of the process in MB, and MaxFiles the number of its file descriptors. What callers may make
+	// the process hold follows from them; 0 stands for defaults.
+	MemoryMB, MaxFiles int
 }
 
 // DefaultTraceSize is the default of TraceSize.
@@ -73,6 +77,8 @@
 	f.StringVar(&c.TLSCert, "tls-cert", "", "file with this process's certificate in PEM; without it connections between processes are not encrypted")
 	f.StringVar(&c.TLSKey, "tls-key", "", "file with the certificate's key in PEM")
 	f.StringVar(&c.TLSCA, "tls-ca", "", "file with the private certificate authority in PEM")
+	f.IntVar(&c.MemoryMB, "memory-mb", 0, "memory of the process in MB, from which follows how much callers may make it hold (0: as for 512 MB, and the process's own memory has no limit)")
+	f.IntVar(&c.MaxFiles, "max-files", 0, "file descriptors of the process, from which follows how many connections callers may open (0: as for 8192)")
 	f.IntVar(&c.TraceSize, "trace-size", DefaultTraceSize, "number of recent events that the process keeps for /timeline")
 }
 
@@ -106,6 +112,10 @@
 		return Invalid("platform", c.Platform, "an http or https URL, such as http://10.0.0.1:2380,")
 	case c.LogFormat != "text" && c.LogFormat != "json":
 		return Invalid("log-format", c.LogFormat, "text or json")
+	case c.MemoryMB < 0:
+		return eris.Errorf("-memory-mb is %d; 0 or a number of MB would be right", c.MemoryMB)
+	case c.MaxFiles < 0:
+		return eris.Errorf("-max-files is %d; 0 or a number of descriptors would be right", c.MaxFiles)
 	case c.TraceSize < 1:
 		return eris.Errorf("-trace-size is %d; a number above 0 would be right", c.TraceSize)
 	}
@@ -134,6 +144,11 @@
 	return nil
 }
 
+// Intake returns the limits of what callers may make the process hold.
+func (c *Common) Intake() intake.Limits {
+	return intake.LimitsFor(int64(c.MemoryMB)<<20, c.MaxFiles)
+}
+
 // PeerList returns the addresses in Peers, without surrounding spaces and empty entries.
 func (c *Common) PeerList() []string {
 	var r []string
