worker: answers that are kept for duplicates have a bound in all

What callers saw: an agent of a plain service whose calls may run once at most grew with each call for ten minutes. 48 callers that made calls with answers of 60 KB brought it to 367 MB of 64 in ten seconds.

Cause: each answer of up to 64 KB is kept for the retention of ten minutes, so that a duplicate of its request gets it. The bound was for one answer, not for all. The message that opened the run was kept as well.

Change: Worker.WithReplayBytes, a quarter of what runs may use (64 MB for a worker by itself). The answers of the runs that ended first go first; their records stay, so a duplicate of such a request is told that it ran and its answer is gone, and never runs again. Prompt and headers are dropped when the call has ended.

The crowd counts as settled only when no answers arrive any more either; before, clients whose kernel took 4 MB at once looked settled.

--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -138,7 +138,7 @@
 		startedAt:     now,
 		ctx:           ctx,
 		memory:        &memory{limit: limits.MemoryBytes, maxStreams: limits.UpstreamConns},
-		worker:        worker.New(now, incarnation, worker.WithSlots(s.Slots)),
+		worker:        worker.New(now, incarnation, worker.WithSlots(s.Slots), worker.WithReplayBytes(int64(replayRatio*float64(limits.MemoryBytes)))),
 		quotaHolder:   quota.NewHolder(),
 		reconciler:    orders.New(incarnation),
 		outboxes:      map[worker.StreamID]*outbox{},
--- a/agent/host/memory.go
+++ b/agent/host/memory.go
@@ -20,6 +20,8 @@
 	runBytes = 32 << 10
 	// headerBytes is the memory of a header field besides its name and value.
 	headerBytes = 128
+	// replayRatio is the part of the memory for runs that answers for duplicates may use in addition.
+	replayRatio = 0.25
 )
 
 // errNoMemory means that a part of a body can't be held.
--- a/coord/crowd/bodies.go
+++ b/coord/crowd/bodies.go
@@ -96,6 +96,18 @@
 	}
 }
 
+// Repeat returns what a client sends that sends the same some times over on a connection.
+func Repeat(times int, send func(w io.Writer, number int64) error) func(w io.Writer, number int64) error {
+	return func(w io.Writer, number int64) error {
+		for range times {
+			if err := send(w, number); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 func writeRequest(w io.Writer, line, fields string, b Body) error {
 	if _, err := io.WriteString(w, line+" HTTP/1.1\r\n"+fields+b.Fields+"\r\n"); err != nil {
 		return err
--- a/coord/crowd/crowd.go
+++ b/coord/crowd/crowd.go
@@ -14,7 +14,7 @@
 	maxConnections = 40
 	// reconnectPause is the time between the end of a client's connection and its next one.
 	reconnectPause = 100 * time.Millisecond
-	// settleTime is how long no client of a crowd has sent anything once it counts as settled.
+	// settleTime is how long no client of a crowd has sent or received anything once it counts as settled.
 	settleTime = 700 * time.Millisecond
 	// settlePoll is the time between two looks at what the clients have sent.
 	settlePoll = 20 * time.Millisecond
@@ -33,10 +33,11 @@
 type Crowd struct {
 	address string
 	client  Client
-	sent    atomic.Int64
-	number  atomic.Int64
-	stopped chan struct{}
-	wait    sync.WaitGroup
+	// sent and received count bytes.
+	sent, received atomic.Int64
+	number         atomic.Int64
+	stopped        chan struct{}
+	wait           sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -91,7 +92,7 @@
 	if !w.client.Unread {
 		go func() {
 			defer close(closed)
-			_, _ = io.Copy(io.Discard, c)
+			_, _ = io.Copy(counter{io.Discard, &w.received}, c)
 		}()
 	}
 	if err := w.client.Send(counter{c, &w.sent}, w.number.Add(1)); err != nil {
@@ -124,12 +125,12 @@
 	delete(w.conns, c)
 }
 
-// Settle waits until no client has sent anything for settleTime, at most for some time: clients that are turned away come
-// again.
+// Settle waits until no client has sent or received anything for settleTime, at most for some time: clients that are turned
+// away come again.
 func (w *Crowd) Settle(most time.Duration) {
 	last, at := w.sent.Load(), time.Now()
 	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(settlePoll) {
-		if n := w.sent.Load(); n != last || n == 0 {
+		if n := w.sent.Load() + w.received.Load(); n != last || n == 0 {
 			last, at = n, time.Now()
 		}
 		if time.Since(at) > settleTime {
--- a/coord/worker/call.go
+++ b/coord/worker/call.go
@@ -120,8 +120,11 @@
 	w.freeSlot(r)
 	r.phase = ended
 	w.renewLease(r)
+	// The upstream has what it needs of the request.
+	r.open.Prompt, r.open.Headers = nil, nil
 	if w.replayable(r) {
 		r.keepUntil = w.now.Add(w.retention)
+		w.keep(r)
 	}
 	rec := w.ensureRecord(r.id.Request)
 	rec.ran = ran
--- a/coord/worker/ended.go
+++ b/coord/worker/ended.go
@@ -81,6 +81,7 @@
 	}
 	r.waiters, r.stream = nil, 0
 	delete(w.runs, r.id)
+	w.drop(r)
 	rec := w.ensureRecord(r.id.Request)
 	if r.mayHaveRun {
 		rec.ran = r.ran()
--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -43,6 +43,8 @@
 	// DefaultReplayBytes is the size up to which the response to a request that isn't
 	// idempotent is kept for replay to duplicates.
 	DefaultReplayBytes = 64 << 10
+	// DefaultTotalReplayBytes is the size of all responses that are kept for replay.
+	DefaultTotalReplayBytes = 64 << 20
 )
 
 // firstSentMargin is the tolerance when CancelRequested.FirstSent is compared with the start
@@ -142,6 +144,11 @@
 	records   map[string]*record
 	queue     queue.Queue[*run]
 	busySlots int
+	// replayBytes is the size up to which answers of ended runs are kept for duplicates in all, and kept those runs, in the
+	// order in which they ended; keptBytes is the size of their answers.
+	replayBytes int64
+	kept        []*run
+	keptBytes   int64
 	// meanSlotTime is the moving average of the time for which runs held a slot until their
 	// call succeeded or failed. Aborted runs don't count.
 	meanSlotTime time.Duration
@@ -162,6 +169,10 @@
 // WithRetention sets how long records of requests and responses for replay are kept.
 func WithRetention(d time.Duration) Option { return func(w *Worker) { w.retention = d } }
 
+// WithReplayBytes sets the size up to which answers of ended runs are kept for duplicates, in all. The oldest are dropped
+// first: a duplicate is then told that the request ran and that its answer is gone.
+func WithReplayBytes(n int64) Option { return func(w *Worker) { w.replayBytes = n } }
+
 // New returns the state of an agent that starts at now. The incarnation identifies this
 // start of the agent's process.
 func New(now time.Time, incarnation uint64, opts ...Option) *Worker {
@@ -171,6 +182,7 @@
 		slots:             DefaultSlots,
 		leaseDuration:     DefaultLease,
 		retention:         DefaultRetention,
+		replayBytes:       DefaultTotalReplayBytes,
 		heartbeatInterval: DefaultHeartbeatInterval,
 		settings:          tree.Empty(),
 		runs:              map[RunID]*run{},
--- a/local/crowd/crowd_test.go
+++ b/local/crowd/crowd_test.go
@@ -21,6 +21,9 @@
 	headBytes = 200 << 10
 	// endless is the size of what a client sends that goes on beyond all limits, in bytes.
 	endless = 32 << 20
+	// keptAnswers is the number of calls of each client whose answers are kept, and keptBytes the size of an answer.
+	keptAnswers = 300
+	keptBytes   = 60 << 10
 	// promptBytes is the size of a prompt of which the largest body has room.
 	promptBytes = maxBody - 256
 )
@@ -144,6 +147,12 @@
 	play(t, clients, c)
 }
 
+// TestOpenAICrowdOfKeptAnswers makes many calls that may run once at most, whose answers are kept for duplicates of them.
+func TestOpenAICrowdOfKeptAnswers(t *testing.T) {
+	b := crowd.Sized(keptBytes, 0, keptBytes)
+	play(t, clients, crowd.Client{Send: crowd.Repeat(keptAnswers, crowd.SendRequest("POST /decisions/x", crowdFields, b))})
+}
+
 // Single requests of the largest size, in calm.
 
 func TestOpenAICrowdOfOneToPlain(t *testing.T) {
