link: connections keep no large buffers

Cause: a connection between processes kept the buffer of the largest message that was sent on it, up to 4 MB, also while it was idle in the pool; sixteen idle connections to an address could keep 64 MB of prompts that were long answered.

Change: buffers above 64 KB are dropped after the message, at both ends. Found by reading drpcstream.Options; no test shows it by itself, TestOpenAICrowdOfCompletions covers it together with the rest.

--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -17,6 +17,8 @@
 	"cranberrypoint.example/coord/wire"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcstream"
 )
 
 const (
@@ -29,10 +31,16 @@
 	pingAfter = time.Second
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout = 30 * time.Second
+	// maxKeptBufferBytes is the largest buffer that a connection keeps.
+	maxKeptBufferBytes = 64 << 10
 	// maxIdle bounds the idle connections to one address.
 	maxIdle = 16
 )
 
+// managerOptions are those of both ends of a connection. Without a bound, a connection keeps a buffer of the size of the largest
+// message that was sent on it.
+var managerOptions = drpcmanager.Options{Stream: drpcstream.Options{MaximumBufferSize: maxKeptBufferBytes}}
+
 // idleConn is an idle connection.
 type idleConn struct {
 	conn *drpcconn.Conn
@@ -158,13 +166,18 @@
 		if err != nil {
 			return nil, err
 		}
-		return drpcconn.New(c), nil
+		return newConn(c), nil
 	}
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(c), nil
+	return newConn(c), nil
+}
+
+// newConn returns a client's connection.
+func newConn(c net.Conn) *drpcconn.Conn {
+	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions})
 }
 
 // releaseFunc returns the release function of Get. Only its first call has an effect.
--- a/coord/link/serve.go
+++ b/coord/link/serve.go
@@ -46,7 +46,7 @@
 	if c != nil {
 		l = tls.NewListener(l, c)
 	}
-	return drpcserver.New(recoverer{m}).Serve(ctx, l)
+	return drpcserver.NewWithOptions(recoverer{m}, drpcserver.Options{Manager: managerOptions}).Serve(ctx, l)
 }
 
 // recoverer turns a panic of a handler into an error of its call, as the HTTP server of the standard
