--- a/coord/intake/table.go
+++ b/coord/intake/table.go
@@ -33,9 +33,10 @@
 	slowTime = 100 * time.Millisecond
 	// keptTime is how long a connection that was served may be idle before it may be given up for others.
 	keptTime = 2 * time.Second
-	// misuseTime is how long requests of an owner are refused while there is little room, after a connection of the owner
-	// was given up that had held what ordinary callers don't.
+	// misuseTime is how long requests of an owner are refused while there is little room, after minMisuses connections of the
+	// owner were given up that had held what ordinary callers don't. A single one may be a bad link.
 	misuseTime = 5 * time.Second
+	minMisuses = 4
 	// scarceRatio is the part of the connections that are open when there is little room.
 	scarceRatio = 0.75
 	// maxUnreadBytes is how much may have arrived behind a request that is being served before it counts against the
@@ -70,13 +71,19 @@
 	// open is the number of connections that count, and total what they hold in bytes.
 	open  int
 	total int64
-	// misusedAt is when a connection of an owner was last given up that had held what ordinary callers don't.
-	misusedAt map[string]time.Time
+	// misuses holds the owners whose connections were given up that had held what ordinary callers don't.
+	misuses map[string]misuse
+}
+
+// misuse counts the connections of an owner that were given up one after the other, each within misuseTime of the last.
+type misuse struct {
+	count int
+	last  time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(l Limits) *Table {
-	return &Table{limits: l, accounts: map[ID]*account{}, misusedAt: map[string]time.Time{}}
+	return &Table{limits: l, accounts: map[ID]*account{}, misuses: map[string]misuse{}}
 }
 
 // Open adds a connection. The victims must be closed. If ok is false, the connection was not added and must be closed itself.
@@ -117,7 +124,7 @@
 		return 0, false
 	}
 	if a := t.accounts[id]; k.class.isMisuse() && a.owner != "" {
-		t.misusedAt[a.owner] = now
+		t.noteMisuse(now, a.owner)
 	}
 	t.evict(id)
 	return id, true
@@ -131,12 +138,21 @@
 		return false
 	}
 	a.owner = owner
-	at, isMisused := t.misusedAt[owner]
-	if isMisused && now.Sub(at) >= misuseTime {
-		delete(t.misusedAt, owner)
-		isMisused = false
+	m, ok := t.misuses[owner]
+	if ok && now.Sub(m.last) >= misuseTime {
+		delete(t.misuses, owner)
+		m = misuse{}
+	}
+	return m.count < minMisuses || float64(t.open) < scarceRatio*float64(t.limits.Conns)
+}
+
+// noteMisuse records that a connection of an owner was given up that had held what ordinary callers don't.
+func (t *Table) noteMisuse(now time.Time, owner string) {
+	m := t.misuses[owner]
+	if now.Sub(m.last) >= misuseTime {
+		m.count = 0
 	}
-	return !isMisused || float64(t.open) < scarceRatio*float64(t.limits.Conns)
+	t.misuses[owner] = misuse{m.count + 1, now}
 }
 
 // evict takes a connection out of the sums.
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -194,7 +194,7 @@
 		// read, and without a response the standard library's server would send a 200.
 		x.record.outcome = outcomeCallerLeft
 	}
-	x.refuseBody()
+	x.refuseBody(e.Code)
 	h := x.w.Header()
 	p.codec.SetRequestID(h, x.call.ID)
 	if !e.RetryAt.IsZero() && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
--- a/entry/proxy/intake.go
+++ b/entry/proxy/intake.go
@@ -48,14 +48,13 @@
 	return min(configured, p.intake.MaxBodyBytes())
 }
 
-// refuseBody closes the connection after the refusal of a request whose body hasn't been read, unless it is small and has a
-// length: the server reads that one, and keeps the connection.
-func (x *exchange) refuseBody() {
+// refuseBody closes the connection after the refusal of a request whose body hasn't been read and is large, or can't be held.
+// The server reads others, and keeps the connection.
+func (x *exchange) refuseBody(c fault.Code) {
 	n := x.r.ContentLength
-	if x.hasBody || n >= 0 && n <= maxDrainedBytes {
-		return
+	if !x.hasBody && (n > maxDrainedBytes || n < 0 && c == fault.NoRoom) {
+		x.close()
 	}
-	x.close()
 }
 
 // close closes the connection after the answer.
@@ -64,6 +63,14 @@
 	x.conn.Refuse()
 }
 
+// owner returns whose request it is, for the bounds on what callers may hold: the workspace, or the route if it needs no key.
+func (x *exchange) owner() string {
+	if x.workspace != nil {
+		return x.workspace.Name
+	}
+	return "route " + x.route.Name
+}
+
 // releaseBody drops the body of a request that is not sent again: its answer has begun, and it was written whole.
 func (x *exchange) releaseBody(r *upconn.Response) {
 	if !r.RequestWritten {
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -147,7 +147,7 @@
 	} else if x.call.Key != "" && v.isFresh(p.settings.ConfigMaxAge) {
 		x.workspace = v.rules.Workspace(x.call.Key)
 	}
-	if !x.conn.SetOwner(x.workspaceName()) {
+	if !x.conn.SetOwner(x.owner()) {
 		x.close()
 		return noRoomFault()
 	}
