edge, oai: what callers of the OpenAI door make an entry hold stays within its memory and descriptors

What callers saw: an entry that got many large bodies, completions, heads or connections exceeded its memory; a single chat completion of 2 MB in messages of two bytes took 121 MB of 64.

Cause: as at the other door, nothing bounded the sum; bodies grew by doubling and had no time limit at all. Parsing made it worse: each message and each part of a prompt became a struct in a list that grows by doubling, with a hash of its own, and the text was copied four times.

Change: the guard of coord/intake on the listener of callers, a head of 64 KB at most (1 MB before), a body within a minute, for a plain service within the route's timeout. Bodies are kept in pieces. Messages and parts are decoded one at a time and only their text is kept, with the ids of the first 64 messages; the memory for that is taken before the body is parsed, and the body dropped after it. The text of a completion that isn't streamed counts as well. Without room: 503 no_room, "ran: no". A body that is forwarded while it arrives and can't be held ends with 502, since a part may have reached the upstream.

--- a/entry/edge/answer.go
+++ b/entry/edge/answer.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/router"
 	"cranberrypoint.example/entry/oai"
 )
@@ -49,10 +50,14 @@
 	return nil
 }
 
+// textCopies is how many times the text of a completion that isn't streamed is in memory, as it grows and is encoded.
+const textCopies = 4
+
 // completionWriter writes a chat or text completion in the OpenAI format: as server-sent
 // events if the caller asked for a stream, otherwise as one JSON document.
 type completionWriter struct {
 	w       http.ResponseWriter
+	conn    *intake.Conn
 	request *oai.Request
 	isChat  bool
 	arrived time.Time
@@ -72,6 +77,9 @@
 func (a *completionWriter) writeData(name string, x router.Write) error {
 	a.observeData()
 	if !a.request.Stream {
+		if !a.conn.Grow(textCopies * int64(len(x.Data))) {
+			return intake.ErrNoRoom
+		}
 		a.text.Write(x.Data)
 		return nil
 	}
@@ -203,7 +211,7 @@
 	text, stop := a.text.String(), oai.FinishReasonStop
 	c := oai.Choice{FinishReason: &stop}
 	if a.isChat {
-		c.Message = &oai.Message{Role: "assistant", Content: oai.Content(text)}
+		c.Message = &oai.Message{Role: "assistant", Content: text}
 	} else {
 		c.Text = &text
 	}
--- a/entry/edge/body.go
+++ b/entry/edge/body.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"sync"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/wire"
 )
 
@@ -15,36 +15,39 @@
 // request starts. See openBody for larger bodies and those of unknown length.
 const maxPrereadBodyBytes = 64 << 10
 
+// readBufferBytes is the most that is read at once of a body that is forwarded while it arrives.
+const readBufferBytes = 8 << 10
+
 // requestBody is the body of a request to a plain service. It stays in memory until the request
 // ends, so that a retry can send it again; the max-body setting of the route bounds it.
 type requestBody struct {
 	maxBytes int64
 
 	mu sync.Mutex
-	// cond is signalled when data, complete or err changes.
-	cond *sync.Cond
-	data []byte
-	// complete is true if data is the whole body.
+	// cond is signalled when pieces, complete or err changes.
+	cond   *sync.Cond
+	pieces intake.Body
+	// complete is true if pieces are the whole body.
 	complete bool
 	// err is the error that ended the reading early.
 	err *fault.Error
 }
 
-// newRequestBody returns a body that begins with the bytes of data, which have already been
+// newRequestBody returns a body that begins with pieces that have already been
 // read. If complete is true, they are the whole body.
-func newRequestBody(maxBytes int64, data []byte, complete bool) *requestBody {
-	b := &requestBody{maxBytes: maxBytes, data: data, complete: complete}
+func newRequestBody(maxBytes int64, pieces intake.Body, complete bool) *requestBody {
+	b := &requestBody{maxBytes: maxBytes, pieces: pieces, complete: complete}
 	b.cond = sync.NewCond(&b.mu)
 	return b
 }
 
-// readFrom reads the body while its request runs. It calls onError if a read fails.
-func (b *requestBody) readFrom(r io.Reader, onError func()) {
-	chunk := make([]byte, bodyChunkBytes)
+// readFrom reads the body while its request runs. It calls onError if a read fails, and reports whether none did.
+func (b *requestBody) readFrom(r io.Reader, onError func()) (ok bool) {
+	chunk := make([]byte, readBufferBytes)
 	for {
 		n, err := r.Read(chunk)
 		b.mu.Lock()
-		b.data = append(b.data, chunk[:n]...)
+		b.pieces = b.pieces.Append(chunk[:n])
 		b.complete = err == io.EOF
 		if err != nil && err != io.EOF {
 			b.err = faultOfReadError(err)
@@ -53,37 +56,32 @@
 		b.mu.Unlock()
 		switch {
 		case err == io.EOF:
-			return
+			return true
 		case err != nil:
 			onError()
-			return
+			return false
 		}
 	}
 }
 
-// faultOfReadError converts an error from reading a body to the error for the caller.
-func faultOfReadError(err error) *fault.Error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
-	}
-	return fault.NotRun(fault.BadRequest, "the body broke off")
-}
-
 // readError returns the error that ended the reading early, or nil. Whether the request
-// ran is unknown, because the upstream may have received part of the body.
+// ran is unknown, because the upstream may have received part of the body. So an error that promises that it didn't is
+// replaced.
 func (b *requestBody) readError() *fault.Error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.err == nil {
 		return nil
 	}
-	return b.err.WithRan(wire.Ran_RAN_UNKNOWN)
+	err := *b.err
+	if err.Code == fault.NoRoom {
+		err.Code = fault.OutcomeUnknown
+	}
+	return err.WithRan(wire.Ran_RAN_UNKNOWN)
 }
 
-// nextChunk waits for data past offset, in bytes, and returns at most bodyChunkBytes of
-// it; last is true if the body ends there. ok is false if the context ended or reading
-// the body failed.
+// nextChunk waits for data past offset, in bytes, and returns a part of it; last is true if the body ends there. ok is false
+// if the context ended or reading the body failed.
 func (b *requestBody) nextChunk(ctx context.Context, offset int) (chunk []byte, last, ok bool) {
 	stop := context.AfterFunc(ctx, func() {
 		b.mu.Lock()
@@ -93,14 +91,14 @@
 	defer stop()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.data) <= offset && !b.complete && b.err == nil && ctx.Err() == nil {
+	for b.pieces.Len() <= offset && !b.complete && b.err == nil && ctx.Err() == nil {
 		b.cond.Wait()
 	}
 	if b.err != nil || ctx.Err() != nil {
 		return nil, false, false
 	}
-	end := min(len(b.data), offset+bodyChunkBytes)
-	return b.data[offset:end], b.complete && end == len(b.data), true
+	chunk = b.pieces.At(offset)
+	return chunk, b.complete && offset+len(chunk) == b.pieces.Len(), true
 }
 
 // size returns the size of the body in bytes, from the Content-Length header if the body
@@ -109,7 +107,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.complete {
-		return int64(len(b.data))
+		return int64(b.pieces.Len())
 	}
 	return q.ContentLength
 }
--- a/entry/edge/command.go
+++ b/entry/edge/command.go
@@ -7,6 +7,7 @@
 
 	"cranberrypoint.example/coord/cmdln"
 	"cranberrypoint.example/coord/conf"
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/opsrv"
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
@@ -72,6 +73,7 @@
 		return e
 	}
 	l := c.settings.Logger()
+	intake.LimitRuntime(int64(c.settings.MemoryMB) << 20)
 	sig, cancel := cmdln.Signals(ctx)
 	defer cancel()
 	e, stop, err := Start(c.settings, l)
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	"cranberrypoint.example/coord/feed"
 	"cranberrypoint.example/coord/fleet"
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/link"
 	"cranberrypoint.example/coord/opsrv"
 	"cranberrypoint.example/coord/router"
@@ -35,6 +37,8 @@
 	// tickPeriod is the time between two router.Ticked events.
 	tickPeriod        = 20 * time.Millisecond
 	readHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes is the largest head of a request.
+	maxHeaderBytes = 64 << 10
 	// settleRetryPeriod is the time between two attempts to settle a reservation.
 	settleRetryPeriod = 200 * time.Millisecond
 	// settleTimeout bounds the attempts to settle a reservation. The holder, the VM that
@@ -66,7 +70,9 @@
 	callersAddress string
 	peerAddress    string
 	opsAddress     string
-	startedAt      time.Time
+	// intake bounds what callers make this entry hold.
+	intake    *intake.Guard
+	startedAt time.Time
 	// closeConnections is true once a drain has started: answers then ask callers to close
 	// their connections.
 	closeConnections atomic.Bool
@@ -114,6 +120,8 @@
 		queues:         map[router.RequestID]*effectQueue{},
 		streams:        map[router.RunRef]*runStream{},
 	}
+	e.intake = intake.NewGuard(s.Intake(), l, intake.WithMaxHead(func() int { return maxHeaderBytes }))
+	e.metrics.registry.MustRegister(e.intake.Collectors()...)
 	e.trace.Add(now, trace.Event{Kind: trace.Incarnated})
 	stopServing := e.startServers(k)
 	return e, func() {
@@ -135,12 +143,17 @@
 	e.metrics.registry.MustRegister(e.feed.Counts.Collectors(opsrv.Namespace)...)
 	stopOps := opsrv.Serve(k.Ops, e.metrics.registry, e.trace, e.Status)
 	e.httpServer = &http.Server{
-		Handler:           frame.Handler(e.withConnectionClose(e.handler())),
+		Handler:           frame.Handler(e.withConnectionClose(e.withRoom(e.handler()))),
 		ReadHeaderTimeout: readHeaderTimeout,
-		ConnContext:       frame.WithConn,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         e.intake.TrackState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return intake.WithConn(frame.WithConn(ctx, c), c)
+		},
 	}
 	e.tasks.Go(func() { _ = link.Serve(e.ctx, k.Peers, k.TLS, e.feed, nil) })
-	e.tasks.Go(func() { _ = e.httpServer.Serve(k.More[0]) })
+	e.tasks.Go(func() { _ = e.httpServer.Serve(e.intake.Listen(k.More[0])) })
+	e.tasks.Go(func() { e.intake.Run(e.ctx) })
 	e.tasks.Go(e.tickLoop)
 	return func() {
 		stopOps()
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -12,6 +11,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/poison"
 	"cranberrypoint.example/coord/router"
 	"cranberrypoint.example/coord/tree"
@@ -64,19 +64,6 @@
 	_ = json.NewEncoder(w).Encode(l)
 }
 
-// readBody reads a body of at most limit bytes.
-func readBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, *fault.Error) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", limit)
-	case err != nil:
-		return nil, fault.NotRun(fault.BadRequest, "the body broke off")
-	}
-	return b, nil
-}
-
 // isAuthenticated reports whether a request has a valid key. handlePlain asks this before it
 // answers that there is no route, so that only callers with a key learn which routes exist.
 func (e *Edge) isAuthenticated(q *http.Request) bool {
@@ -87,52 +74,74 @@
 // handleCompletion answers a chat completion, or a text completion if isChat is false.
 func (e *Edge) handleCompletion(w http.ResponseWriter, q *http.Request, isChat bool) {
 	arrived := time.Now()
-	t := e.settingsTree()
-	b, err := readBody(w, q, t.MaxBody())
-	if err != nil {
-		e.writeError(w, err)
+	if !e.setOwner(w, q) {
 		return
 	}
-	r, err := oai.Parse(b, isChat)
+	c, r, err := e.readCompletion(w, q, isChat)
 	if err != nil {
-		e.writeError(w, err)
+		e.refuseUnread(w, q, err)
 		return
 	}
+	e.serveCall(w, q, c, nil, &completionWriter{w: w, conn: intake.FromContext(q.Context()), request: r, isChat: isChat, arrived: arrived, metrics: e.metrics})
+}
+
+// readCompletion reads a request for a completion. The request that it returns has no prompt: the call has it.
+func (e *Edge) readCompletion(w http.ResponseWriter, q *http.Request, isChat bool) (c router.Call, r *oai.Request, err *fault.Error) {
+	t := e.settingsTree()
+	pieces, err := e.readBody(w, q, t.MaxBody())
+	if err != nil {
+		return c, nil, err
+	}
+	conn := intake.FromContext(q.Context())
+	size := int64(pieces.Len())
+	if !conn.Grow(oai.ParseFactor * size) {
+		return c, nil, noRoomFault()
+	}
+	b := pieces.Join()
+	pieces = nil
+	if r, err = oai.Parse(b, isChat); err != nil {
+		return c, nil, err
+	}
 	route, _ := t.RouteOfModel(r.Model)
-	if v, ok := t.RouteValues(route); ok && int64(len(b)) > v.MaxBody {
-		e.writeError(w, fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", v.MaxBody))
-		return
+	if v, ok := t.RouteValues(route); ok && size > v.MaxBody {
+		return c, nil, tooLargeFault(v.MaxBody)
 	}
-	p := r.PromptText()
-	c := router.Call{
+	c = router.Call{
 		KeyHash:      keyHash(q),
 		Route:        route,
 		Name:         newRequestName(),
-		Prompt:       []byte(p),
-		PromptTokens: wire.Tokens(len(p)),
-		MaxTokens:    r.MaxOutputTokens(),
+		Prompt:       r.Prompt,
+		PromptTokens: wire.Tokens(len(r.Prompt)),
+		MaxTokens:    r.MaxOutputTokens,
 	}
-	c.PoisonKeys = poison.Keys(poison.Fingerprint(c.KeyHash, q.Method, "", q.URL.Path, b), r.PartIDs())
-	a := &completionWriter{w: w, request: r, isChat: isChat, arrived: arrived, metrics: e.metrics}
-	e.serveCall(w, q, c, nil, a)
+	c.PoisonKeys = poison.Keys(poison.Fingerprint(c.KeyHash, q.Method, "", q.URL.Path, b), r.Parts)
+	r.Prompt = nil
+	conn.Shrink((1+oai.ParseFactor)*size - promptCopies*int64(len(c.Prompt)))
+	return c, r, nil
 }
 
 // handlePlain forwards a request to the plain service of its route.
 func (e *Edge) handlePlain(w http.ResponseWriter, q *http.Request) {
+	if !e.setOwner(w, q) {
+		return
+	}
 	t := e.settingsTree()
 	route, ok := t.RouteOfPath(q.URL.Path)
 	if !ok && !e.isAuthenticated(q) {
-		e.writeError(w, fault.NotRun(fault.BadKey, "the key is missing, wrong or withdrawn"))
+		e.refuseUnread(w, q, fault.NotRun(fault.BadKey, "the key is missing, wrong or withdrawn"))
 		return
 	}
 	if !ok {
-		e.writeError(w, fault.NotRun(fault.NoRoute, "no route serves %s", q.URL.Path))
+		e.refuseUnread(w, q, fault.NotRun(fault.NoRoute, "no route serves %s", q.URL.Path))
 		return
 	}
 	v, _ := t.RouteValues(route)
+	if q.ContentLength != 0 {
+		setBodyDeadline(w, time.Now().Add(v.Timeout))
+	}
 	b, digest, err := e.openBody(w, q, v.MaxBody)
 	if err != nil {
-		e.writeError(w, err)
+		e.refuseUnread(w, q, err)
 		return
 	}
 	key := bearerKey(q)
@@ -147,7 +156,7 @@
 		Digest:         digest,
 	}
 	if b.complete {
-		c.PoisonKeys = poison.Keys(poison.Fingerprint(c.KeyHash, c.Method, "", c.Path, b.data), nil)
+		c.PoisonKeys = poison.Keys(poison.Fingerprint(c.KeyHash, c.Method, "", c.Path, b.pieces...), nil)
 	}
 	e.serveCall(w, q, c, b, &plainWriter{w: w})
 }
@@ -156,14 +165,15 @@
 // idempotency key, because the digest of such a request covers the whole body. Any other
 // body is returned empty, to be forwarded while it arrives.
 func (e *Edge) openBody(w http.ResponseWriter, q *http.Request, limit int64) (b *requestBody, digest string, err *fault.Error) {
+	limit = min(limit, e.intake.MaxBodyBytes())
 	if q.ContentLength > limit {
-		return nil, "", fault.NotRun(fault.TooLarge, "the body is larger than %d bytes", limit)
+		return nil, "", tooLargeFault(limit)
 	}
 	small := q.ContentLength >= 0 && q.ContentLength <= maxPrereadBodyBytes
 	if !small && q.Header.Get(idempotencyHeader) == "" {
 		return newRequestBody(limit, nil, false), "", nil
 	}
-	data, err := readBody(w, q, limit)
+	data, err := e.readBody(w, q, limit)
 	if err != nil {
 		return nil, "", err
 	}
@@ -177,16 +187,23 @@
 		return
 	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	r := http.MaxBytesReader(w, q.Body, s.body.maxBytes)
-	e.tasks.Go(func() { s.body.readFrom(r, s.signal) })
+	c := intake.FromContext(q.Context())
+	r := bodyReader{http.MaxBytesReader(w, q.Body, s.body.maxBytes), c}
+	e.tasks.Go(func() {
+		if s.body.readFrom(r, s.signal) {
+			c.Arrived()
+		}
+	})
 }
 
 // contentDigest returns the first 16 bytes, in hex, of the SHA-256 hash of the method, the
 // path and the body.
-func contentDigest(q *http.Request, b []byte) string {
+func contentDigest(q *http.Request, b intake.Body) string {
 	h := sha256.New()
 	_, _ = io.WriteString(h, q.Method+" "+q.URL.Path+"\n")
-	_, _ = h.Write(b)
+	for _, p := range b {
+		_, _ = h.Write(p)
+	}
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
@@ -229,6 +246,9 @@
 				}
 			case router.Finish:
 				e.finishAnswer(w, name, a, x)
+				if x.Err == nil {
+					intake.FromContext(q.Context()).SetServed()
+				}
 				return
 			}
 			if err != nil {
@@ -238,7 +258,7 @@
 		}
 		if err := e.bodyError(s); err != nil {
 			e.dropRequest(id)
-			e.failAnswer(w, a, err)
+			e.failAnswer(w, q, a, err)
 			return
 		}
 		select {
@@ -270,10 +290,11 @@
 }
 
 // failAnswer answers with an error, or aborts the connection if the answer has started.
-func (e *Edge) failAnswer(w http.ResponseWriter, a answerWriter, err *fault.Error) {
+func (e *Edge) failAnswer(w http.ResponseWriter, q *http.Request, a answerWriter, err *fault.Error) {
 	if a.hasStarted() {
 		panic(http.ErrAbortHandler)
 	}
+	closeConnection(w, q)
 	e.writeError(w, err)
 }
 
--- a/entry/edge/run.go
+++ b/entry/edge/run.go
@@ -15,8 +15,6 @@
 	heartbeatPeriod = time.Second
 	// receiveTimeout is how long a stream may receive nothing before it counts as lost.
 	receiveTimeout = 3 * time.Second
-	// bodyChunkBytes is the largest part of a request body in one message.
-	bodyChunkBytes = 32 << 10
 )
 
 // runStream is a dRPC stream to an agent that carries one run, an attempt to execute a
--- a/entry/oai/oai_test.go
+++ b/entry/oai/oai_test.go
@@ -13,7 +13,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return r.PartIDs()
+		return r.Parts
 	}
 	a := parse(`{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"x"}]}`, true)
 	b := parse(`{"model":"n","messages":[{"role":"system","content":"s"},{"role":"user","content":"y"},{"role":"assistant","content":"x"}]}`, true)
--- a/local/world/world_test.go
+++ b/local/world/world_test.go
@@ -140,7 +140,7 @@
 		Created: got.Created,
 		Model:   "summary-1",
 		Choices: []oai.Choice{{
-			Message:      &oai.Message{Role: "assistant", Content: oai.Content(stand.Answer("user: hi\n", 5))},
+			Message:      &oai.Message{Role: "assistant", Content: stand.Answer("user: hi\n", 5)},
 			FinishReason: &stop,
 		}},
 		Usage: &oai.Usage{PromptTokens: 3, CompletionTokens: 5, TotalTokens: 8, Details: &oai.PromptDetails{}},
