intake, worker: heads that are refused early and dropped answers are counted

A head that is refused before its end has no request line, so intake_large_heads_total tells of it; an answer that made room for others is an event of kind dropped, in the timeline and in agent_events_total. Nothing else changes.

--- a/coord/intake/conn.go
+++ b/coord/intake/conn.go
@@ -103,6 +103,7 @@
 		return noRoom
 	}
 	if m := g.maxHead(); m > 0 && c.headSize > m+headSlackBytes {
+		g.metrics.largeHeads.Inc()
 		return tooLarge
 	}
 	return ""
--- a/coord/intake/metrics.go
+++ b/coord/intake/metrics.go
@@ -7,7 +7,8 @@
 
 // metrics are those of a guard.
 type metrics struct {
-	evicted, refused  prometheus.Counter
+	evicted, refused, largeHeads prometheus.Counter
+
 	connections, held prometheus.GaugeFunc
 }
 
@@ -25,6 +26,7 @@
 	return &metrics{
 		evicted:     counter("intake_evicted_total", "Connections of callers that were closed to make room."),
 		refused:     counter("intake_refused_total", "Connections and requests of callers that were refused for want of room."),
+		largeHeads:  counter("intake_large_heads_total", "Requests that were refused with 431 before their head ended."),
 		connections: gauge("intake_connections", "Open connections of callers.", func(t *Table) float64 { return float64(t.Conns()) }),
 		held:        gauge("intake_held_bytes", "Memory that callers make the process hold, as it is counted.", func(t *Table) float64 { return float64(t.Held()) }),
 	}
@@ -32,5 +34,5 @@
 
 // Collectors returns the metrics of the guard.
 func (g *Guard) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{g.metrics.evicted, g.metrics.refused, g.metrics.connections, g.metrics.held}
+	return []prometheus.Collector{g.metrics.evicted, g.metrics.refused, g.metrics.largeHeads, g.metrics.connections, g.metrics.held}
 }
--- a/coord/trace/trace.go
+++ b/coord/trace/trace.go
@@ -51,6 +51,8 @@
 	Cancelled Kind = "cancelled"
 	// Expired: the lease of a run expired because its entry was silent.
 	Expired Kind = "expired"
+	// Dropped: an agent dropped the answer of an ended run, which it kept for duplicates, to make room.
+	Dropped Kind = "dropped"
 	// Adopted: a process put a new configuration in force.
 	Adopted Kind = "adopted"
 	// Rejected: a process rejected a new configuration.
--- a/coord/worker/replay.go
+++ b/coord/worker/replay.go
@@ -1,6 +1,10 @@
 package worker
 
-import "slices"
+import (
+	"slices"
+
+	"cranberrypoint.example/coord/trace"
+)
 
 // runBytes is the memory of an ended run besides its response.
 const runBytes = 1 << 10
@@ -15,6 +19,7 @@
 	w.keptBytes += r.replaySize()
 	for w.keptBytes > w.replayBytes && len(w.kept) > 0 {
 		first := w.kept[0]
+		w.trace(trace.Dropped, first, "")
 		w.drop(first)
 		if first.orphaned {
 			w.removeRun(first)
