intake: an arriving body is no misuse, and unread bytes count only until they are read

Cause, found by reading: what waits unread on a connection made it give way first, whatever it was used for. A body that arrives faster than a busy entry reads it has up to 64 KB waiting, so an honest upload could be closed while connections are scarce, and counted against its workspace. And what was counted once stayed counted until the next count, which was left out while there was room.

Change: unread bytes tell against a connection only while a request runs on it; as long as any are counted, they are counted again. Test: TestArrivingBodyIsNoMisuse, which fails before (connection 1 was given up, and no count was needed); the random steps of TestSumsHold count unread bytes too. What has arrived can't be refused any more, so these may exceed the limit until connections give way.

--- a/coord/intake/guard.go
+++ b/coord/intake/guard.go
@@ -178,10 +178,10 @@
 	}
 }
 
-// checkIfNeeded counts what has arrived and isn't read yet, if that could exceed the limit.
+// checkIfNeeded counts what has arrived and isn't read yet, if that is needed.
 func (g *Guard) checkIfNeeded() {
 	g.mu.Lock()
-	isNeeded := g.table.MayExceed(receiveBufferBytes + answerBufferBytes)
+	isNeeded := g.table.NeedsCheck(receiveBufferBytes + answerBufferBytes)
 	g.mu.Unlock()
 	if isNeeded {
 		g.check()
--- a/coord/intake/table.go
+++ b/coord/intake/table.go
@@ -71,6 +71,8 @@
 	// open is the number of connections that count, and total what they hold in bytes.
 	open  int
 	total int64
+	// unread is the part of total that waits to be read.
+	unread int64
 	// misuses holds the owners whose connections were given up that had held what ordinary callers don't.
 	misuses map[string]misuse
 }
@@ -162,6 +164,7 @@
 		return
 	}
 	t.total -= a.cost()
+	t.unread -= a.unread
 	t.open--
 	a.evicted, a.held, a.unread = true, 0, 0
 }
@@ -252,6 +255,7 @@
 func (t *Table) SetUnread(id ID, n int64) {
 	if a := t.accounts[id]; a != nil && !a.evicted {
 		t.total += n - a.unread
+		t.unread += n - a.unread
 		a.unread = n
 	}
 }
@@ -276,9 +280,10 @@
 	return 0
 }
 
-// MayExceed reports whether the limit of memory could be exceeded if some bytes waited on account of each connection.
-func (t *Table) MayExceed(unread int64) bool {
-	return t.total+int64(t.open)*unread > t.limits.MemoryBytes
+// NeedsCheck reports whether what waits to be read must be counted: the limit of memory could be exceeded if some bytes waited
+// on account of each connection, or what was counted last may have been read since.
+func (t *Table) NeedsCheck(unread int64) bool {
+	return t.unread > 0 || t.total+int64(t.open)*unread > t.limits.MemoryBytes
 }
 
 // makeRoom gives connections up until n more bytes fit in a limit. ok is false if they don't.
--- a/coord/intake/victim.go
+++ b/coord/intake/victim.go
@@ -87,7 +87,7 @@
 		return rank{refused, int64(quiet)}
 	case waits && isStalled && r != forLarge:
 		return rank{silent, int64(quiet)}
-	case blocked >= stallTime, a.unread > maxUnreadBytes:
+	case blocked >= stallTime, a.phase == PhaseRunning && a.unread > maxUnreadBytes:
 		return rank{unread, a.cost()}
 	case r == forLarge:
 		return rank{}
