intake: what holds much must bring more

Cause, found by reading: a connection counted as going on if it brought 1 KB in half a second. Ten callers that announce 4 MB each and send 2 KB a second could keep all room for large bodies until their routes' time-outs.

Change: a 128th of what is held must arrive in that time, so 64 KB a second for 4 MB; that matters only when another request needs the room. Test: TestStalledBodyGivesWay, with one more body that brings 1 KB for 200 KB: it gives way now; before, the rule had nothing to tell them apart.

--- a/coord/intake/table.go
+++ b/coord/intake/table.go
@@ -27,8 +27,10 @@
 const (
 	// stallTime is how long a connection may bring nothing before it counts as stalled.
 	stallTime = 500 * time.Millisecond
-	// minProgressBytes is what a connection must bring within stallTime.
+	// minProgressBytes is what a connection must bring within stallTime, and progressDivisor the part of what it holds: one
+	// that holds much must bring more.
 	minProgressBytes = 1 << 10
+	progressDivisor  = 128
 	// slowTime is how long a caller may take nothing of an answer before its connection may be given up for others.
 	slowTime = 100 * time.Millisecond
 	// keptTime is how long a connection that was served may be idle before it may be given up for others.
@@ -231,7 +233,7 @@
 	if a == nil {
 		return
 	}
-	if a.moved += n; a.moved >= minProgressBytes {
+	if a.moved += n; a.moved >= max(minProgressBytes, a.held/progressDivisor) {
 		a.movedAt, a.moved = now, 0
 	}
 }
--- a/coord/intake/table_test.go
+++ b/coord/intake/table_test.go
@@ -76,24 +76,27 @@
 	}
 }
 
-// TestStalledBodyGivesWay lets bodies stop that fill the memory. Another large one must then get their room.
+// TestStalledBodyGivesWay lets one of the bodies stop that fill the memory, and one bring too little. Another large one must then get
+// their room, but not that of one that goes on.
 func TestStalledBodyGivesWay(t *testing.T) {
 	b := NewTable(testLimits)
+	const size = 200 << 10
 	openAll(t, b, start, 4)
-	for i := range ID(2) {
+	for i := range ID(3) {
 		b.SetPhase(start, i+1, PhaseBody)
-		if _, ok := b.Grow(start, i+1, 300<<10); !ok {
+		if _, ok := b.Grow(start, i+1, size); !ok {
 			t.Fatalf("body %d has no room", i+1)
 		}
 	}
-	b.SetPhase(start, 3, PhaseBody)
-	if _, ok := b.Grow(start.Add(stallTime-1), 3, 300<<10); ok {
+	b.SetPhase(start, 4, PhaseBody)
+	if _, ok := b.Grow(start.Add(stallTime-1), 4, 2*size); ok {
 		t.Error("a body got room before any other had stopped")
 	}
 	now := start.Add(stallTime)
 	b.Move(now, 2, minProgressBytes)
-	v, ok := b.Grow(now, 3, 300<<10)
-	if d := cmp.Diff([]ID{1}, v); d != "" || !ok {
+	b.Move(now, 3, size/progressDivisor)
+	v, ok := b.Grow(now, 4, 2*size)
+	if d := cmp.Diff([]ID{1, 2}, v); d != "" || !ok {
 		t.Errorf("ok %t, given up (-want +got):\n%s", ok, d)
 	}
 }
