edge: bodies of plain calls are refused before they run, or time out as such

Cause, found by reading: a large body with a length took memory while it arrived, so a call without room was cut off midway, with 502, although it was known at its start that it didn't fit. And a body that came too late was answered as broken off (400).

Change: the announced length is taken before the call begins: without room 503 "ran: no" at once. A late body gets 408 if nothing was sent yet; once the call runs, 502, since 408 would promise that it didn't.

--- a/entry/edge/body.go
+++ b/entry/edge/body.go
@@ -74,7 +74,7 @@
 		return nil
 	}
 	err := *b.err
-	if err.Code == fault.NoRoom {
+	if err.Code == fault.NoRoom || err.Code == fault.RequestTimeout {
 		err.Code = fault.OutcomeUnknown
 	}
 	return err.WithRan(wire.Ran_RAN_UNKNOWN)
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -171,6 +171,9 @@
 	}
 	small := q.ContentLength >= 0 && q.ContentLength <= maxPrereadBodyBytes
 	if !small && q.Header.Get(idempotencyHeader) == "" {
+		if q.ContentLength > 0 && !intake.FromContext(q.Context()).Grow(q.ContentLength) {
+			return nil, "", noRoomFault()
+		}
 		return newRequestBody(limit, nil, false), "", nil
 	}
 	data, err := e.readBody(w, q, limit)
@@ -188,7 +191,7 @@
 	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	c := intake.FromContext(q.Context())
-	r := bodyReader{http.MaxBytesReader(w, q.Body, s.body.maxBytes), c}
+	r := bodyReader{http.MaxBytesReader(w, q.Body, s.body.maxBytes), c, q.ContentLength >= 0}
 	e.tasks.Go(func() {
 		if s.body.readFrom(r, s.signal) {
 			c.Arrived()
--- a/entry/edge/room.go
+++ b/entry/edge/room.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"cranberrypoint.example/coord/fault"
@@ -101,20 +102,27 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return tooLargeFault(tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.NotRun(fault.RequestTimeout, "the body didn't come in time")
 	case errors.Is(err, intake.ErrNoRoom):
 		return noRoomFault()
 	}
 	return fault.NotRun(fault.BadRequest, "the body broke off")
 }
 
-// bodyReader reads the body of a request, and takes memory for what it reads.
+// bodyReader reads the body of a request. If its length isn't known, it takes memory for what it reads.
 type bodyReader struct {
 	io.Reader
-	conn *intake.Conn
+	conn        *intake.Conn
+	knowsLength bool
 }
 
 // Read reads the next part of the body. The error is intake.ErrNoRoom if it can't be held.
 func (r bodyReader) Read(b []byte) (int, error) {
+	if r.knowsLength {
+		n, err := r.Reader.Read(b)
+		return n, r.conn.ReadError(err)
+	}
 	if !r.conn.Grow(int64(len(b))) {
 		return 0, intake.ErrNoRoom
 	}
