review: cases inside the limits that they quote

Case 8 fails one runner of seven for 5 s in place of one of four for 8 s; the clients of case 9 (10 before) have used their channels; case 7 counts only what the planned stop ends.

--- a/review/stand-2/busy.go
+++ b/review/stand-2/busy.go
@@ -13,10 +13,11 @@
 // statuses that promise that a request hasn't run must not reach the client.
 func busy(w *world) int {
 	const (
-		runners   = 4
+		runners   = 7
 		perSecond = 77
 		length    = 12 * time.Second
 		failAfter = 4 * time.Second
+		failTime  = 5 * time.Second
 	)
 	w.bounds, w.limits = boundsOf(3000, 2000, 2000, 8, 58), machine(0.304, 134, 4100)
 	var first *runner
@@ -38,6 +39,7 @@
 		time.AfterFunc(failAfter, func() {
 			w.record.say("runner %s fails with 503 two in five of the requests that it has run", first.ID)
 			first.fails.Store(http.StatusServiceUnavailable)
+			time.AfterFunc(failTime, func() { first.fails.Store(0) })
 		})
 	}
 	// Clients retry unsafe requests after a promise, once, as an attempt with an id of its own.
--- a/review/stand-2/drain.go
+++ b/review/stand-2/drain.go
@@ -53,7 +53,7 @@
 			gap: 4 * target,
 		}
 	})
-	served, refused, other, cut, silent := 0, 0, 0, 0, 0
+	served, refused, other, cut, silent, unplanned := 0, 0, 0, 0, 0, 0
 	for _, c := range l.all {
 		switch {
 		case c.complete && c.status == 200:
@@ -69,12 +69,16 @@
 		case w.ledger.count(c.id, "arrives") > 0:
 			// Its runner may have been at work in the last sixth of the grace.
 			w.record.line("%s was cut off after it was passed on to a runner", c.id)
+		case stopped.IsZero() || c.entry != w.entries[0].name || c.ended.Before(stopped) || c.ended.After(stopped.Add((grace+1)*time.Second)):
+			// It isn't the planned stop that has ended the channel.
+			unplanned++
+			w.record.say("%s at %s has no answer, outside the planned stop", c.id, c.entry)
 		case c.ended.Sub(c.sent) > lossSlack && c.ended.Sub(c.sent) < c.limit:
 			cut++
 			w.record.say("LOST: %s, sent %+.2f s from the SIGTERM and never passed on, has its channel closed without an answer after %.2f s", c.id, c.sent.Sub(stopped).Seconds(), c.ended.Sub(c.sent).Seconds())
 		}
 	}
-	w.record.say("%d requests: %d served, %d answered 503, %d otherwise; %d left by their clients; %d that waited were cut off without an answer", len(l.all), served, refused, other, silent, cut)
+	w.record.say("%d requests: %d served, %d answered 503, %d otherwise; %d left by their clients; %d that waited were cut off without an answer, %d outside the planned stop", len(l.all), served, refused, other, silent, cut, unplanned)
 	if served == 0 {
 		return failed
 	}
--- a/review/stand-2/upload.go
+++ b/review/stand-2/upload.go
@@ -24,6 +24,8 @@
 		sendAfter  = 2700 * time.Millisecond
 		uploadTime = 700 * time.Millisecond
 		excused    = 3 * time.Second
+		// planned is how long a SIGTERM counts as planned work: grace-s and 1 s.
+		planned    = 9 * time.Second
 		streamTime = 14 * time.Second
 		bodyBytes  = 5000
 		// shortRate is the rate of short streams, which other clients send all the time.
@@ -74,7 +76,7 @@
 			whole++
 		case c.complete:
 			refused++
-		case !c.sent.IsZero() && !c.left && late > excused && w.ledger.count(c.id, "runs") > 0:
+		case !c.sent.IsZero() && !c.left && late > excused && c.ended.Before(stop.Add(planned)) && c.ended.Sub(c.sent) < c.limit && w.ledger.count(c.id, "runs") > 0:
 			cut++
 			w.record.say("LOST: %s, whose last byte was sent %.2f s after the SIGTERM, was passed on and is cut off after %.2f s with %d events", c.id, late.Seconds(), c.ended.Sub(c.sent).Seconds(), c.events())
 		}
@@ -102,6 +104,16 @@
 		return
 	}
 	defer func() { _ = n.Close() }()
+	// The channel is kept from an earlier request.
+	first := &call{id: fmt.Sprintf("%016x", rand.Uint64()), method: c.method, path: c.path, tokens: "1000,8", body: "prompt", limit: c.limit, gap: c.gap}
+	if _, c.err = n.Write(first.text()); c.err != nil {
+		return
+	}
+	first.sent = time.Now()
+	if first.read(n); !first.complete || first.status != http.StatusOK {
+		c.err = fmt.Errorf("the first request of the channel: status %d, %w", first.status, first.err)
+		return
+	}
 	time.Sleep(time.Until(at))
 	b := c.text()
 	half := len(b) - len(c.body)/2
