entry: no status that promises "not run" without proof

Cause: answers were relayed whatever their status; only the entry's own errors were held to what they promise. Ruled out: a proof that is misread (the log line of such a request has the outcome "answered", with its upstream). Change: 408, 421, 429 and 503 without proof become 502 without a signature, after another try where a request may run twice. The entry's own 408, and all errors of the OpenAI door that are not "ran: no", follow the same function. Refusals with proof are as before.

--- a/coord/fault/fault.go
+++ b/coord/fault/fault.go
@@ -71,9 +71,26 @@
 	NotReady Code = "not_ready"
 )
 
-// Status returns the HTTP status of a code, whether or not the request ran. The statuses 429
-// and 503 promise that the request did not run and never will, so the proxy sends 502 in
-// their place for a request that may have run.
+// PromisesNotRun reports whether an HTTP status tells callers that their request has not run and never
+// will, so that they may send it again.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// Status returns the HTTP status of an error: that of its code, or 502 if that would promise of a
+// request that may have run that it hasn't.
+func (e *Error) Status() int {
+	if s := e.Code.Status(); e.Ran == wire.Ran_RAN_NO || !PromisesNotRun(s) {
+		return s
+	}
+	return http.StatusBadGateway
+}
+
+// Status returns the HTTP status of a code, whether or not the request ran; see Error.Status.
 func (c Code) Status() int {
 	switch c {
 	case BadRequest:
--- a/entry/edge/http.go
+++ b/entry/edge/http.go
@@ -359,6 +359,6 @@
 		s := math.Ceil(time.Until(err.RetryAt).Seconds())
 		h.Set("Retry-After", strconv.Itoa(max(int(s), 1)))
 	}
-	w.WriteHeader(err.Code.Status())
+	w.WriteHeader(err.Status())
 	_ = json.NewEncoder(w).Encode(oai.NewErrorBody(err))
 }
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -178,7 +178,7 @@
 // promises that it did not is sent as 502 instead.
 func (p *Proxy) fail(x *exchange, e *fault.Error) {
 	code := e.Code.Status()
-	if x.mayHaveRun && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
+	if x.mayHaveRun && fault.PromisesNotRun(code) {
 		code = http.StatusBadGateway
 	}
 	x.record.cause = e.Error()
--- a/entry/proxy/plain.go
+++ b/entry/proxy/plain.go
@@ -108,7 +108,8 @@
 		return false, refusalError(info)
 	}
 	x.mayHaveRun = true
-	if resp.Status >= http.StatusInternalServerError && p.mayRetry(x) && p.drawRetryBudget(x, x.attempts, repeatRun) {
+	hasFailed := resp.Status >= http.StatusInternalServerError || fault.PromisesNotRun(resp.Status)
+	if hasFailed && p.mayRetry(x) && p.drawRetryBudget(x, x.attempts, repeatRun) {
 		return p.retryElsewhere(x, u, resp, info)
 	}
 	x.releaseBody(resp)
@@ -126,7 +127,7 @@
 	return max(time.Duration(attemptLatencyFactor*float64(x.route.TargetLatency)), time.Duration(attemptTimeShare*float64(left)))
 }
 
-// retryElsewhere sends a request whose upstream answered with a server error to another
+// retryElsewhere sends a request whose upstream answered with an error of its own to another
 // upstream. If there is none, the error is delivered: it is an answer too.
 func (p *Proxy) retryElsewhere(x *exchange, u roster.Upstream, resp *upconn.Response, info calls.ResponseInfo) (done bool, err error) {
 	o, ok := p.pickUpstream(x, map[string]bool{u.Instance: true})
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -201,10 +201,18 @@
 	}
 }
 
-// deliver relays an answer and records its result. If the answer broke off, it panics with
-// http.ErrAbortHandler to close the caller's connection.
+// deliver relays an answer of an upstream that may have run the request, and records its result. If the answer broke off, it
+// panics with http.ErrAbortHandler to close the caller's connection. An answer with a status that promises that the request
+// didn't run is not relayed: its upstream has sent no proof, and the caller would run the request once more.
 func (p *Proxy) deliver(x *exchange, u roster.Upstream, resp *upconn.Response, info calls.ResponseInfo, purpose string, flush bool) {
 	x.record.instance, x.record.upstreamVersion = u.Instance, u.Version
+	if fault.PromisesNotRun(resp.Status) {
+		_ = resp.Body.Close()
+		p.metrics.unprovenRefusals.Inc()
+		p.recordResult(x, u, picker.Failed, info.Load, purpose)
+		p.fail(x, unknownOutcomeFault(eris.Errorf("the upstream answered %d without proof that it didn't run the request", resp.Status)))
+		return
+	}
 	if resp.Status < http.StatusMultipleChoices {
 		p.noteOrigin(x, u)
 	}
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/http"
 	"time"
 
 	"cranberrypoint.example/coord/calls"
@@ -104,7 +105,9 @@
 	p.deliver(x, res.candidate.upstream, resp, info, "decode", true)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.engineStats.recordRun(time.Since(began))
+	if x.record.status < http.StatusMultipleChoices {
+		p.engineStats.recordRun(time.Since(began))
+	}
 	p.engineStats.recordGap(x.service.Name, x.record)
 	return true
 }
