upconn: bound the lines of a head, not only its bytes

Cause: a head might have 256 KB, which are some 65,000 fields of four bytes; 64 calls held 69 MB. Change: 32 KB and 512 lines a head, counted while it is read. The answer to a prefill may have 8 KB, a report 128 KB, and a head for an agent of the OpenAI door 32 KB.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -126,6 +126,9 @@
 // is read line by line.
 const maxAnswerBytes = 1 << 20
 
+// maxHeadBytes bounds the head of an answer.
+const maxHeadBytes = 32 << 10
+
 // maxErrorTextBytes limits how much of the body of an error response is read.
 const maxErrorTextBytes = 512
 
@@ -140,7 +143,7 @@
 // name their request, so on a connection that is in use again, a late second copy of one would be taken
 // for the next. A prefill would get the KV cache of another prompt.
 func New(base string) *Client {
-	return &Client{base: base, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Client{base: base, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}}}
 }
 
 // Base returns the base URL of the engine.
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -25,6 +25,9 @@
 // readBufferBytes is the largest part of a response body that is passed on at once.
 const readBufferBytes = 16 << 10
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 32 << 10
+
 // Client calls one service. It is safe for concurrent use. It sets no timeouts; the context
 // of each call limits its duration.
 type Client struct {
@@ -39,7 +42,7 @@
 func New(base string) *Client {
 	return &Client{
 		base: strings.TrimSuffix(base, "/"),
-		http: newHTTPClient(&http.Transport{DisableCompression: true, DisableKeepAlives: true}),
+		http: newHTTPClient(&http.Transport{DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}),
 	}
 }
 
--- a/coord/admit/admit.go
+++ b/coord/admit/admit.go
@@ -53,7 +53,7 @@
 	// stageInterval is the time between two decisions on the engine's stage.
 	stageInterval = 500 * time.Millisecond
 	// maxResponseBytes bounds what is read of the body of an engine's response.
-	maxResponseBytes = 1 << 20
+	maxResponseBytes = 128 << 10
 )
 
 // Settings configures a Manager.
--- a/coord/upconn/conn.go
+++ b/coord/upconn/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -37,9 +36,8 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
-	// limit bounds the bytes that r may still read from the connection. It is in force only
-	// while the head of a response is read.
-	limit *io.LimitedReader
+	// head is what r reads from. Its bounds are in force only while the head of a response is read.
+	head *headReader
 	// expiresAt is when the connection, if idle, is too old to be reused.
 	expiresAt time.Time
 	// onClose tells the pool that the connection is closed. Only the first call has an effect.
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -14,7 +14,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -27,9 +26,6 @@
 const (
 	// defaultMaxIdle bounds the idle connections to one address if the request sets no bound.
 	defaultMaxIdle = 16
-	// maxHeaderBytes bounds the bytes that are read from the connection until the head of the
-	// response is complete. Whole responses that are skipped before it count too.
-	maxHeaderBytes = 256 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 8 << 10
 	// maxSyncBodyBytes is the largest request body that is written before the response is read.
@@ -257,8 +253,9 @@
 	if p.onDial != nil {
 		p.onDial()
 	}
-	l := &io.LimitedReader{R: n, N: math.MaxInt64}
-	c := &conn{Conn: n, limit: l, r: bufio.NewReaderSize(l, readBufferBytes)}
+	h := &headReader{Reader: n}
+	h.lift()
+	c := &conn{Conn: n, head: h, r: bufio.NewReaderSize(h, readBufferBytes)}
 	c.onClose = sync.OnceFunc(func() { p.releaseConn(address) })
 	return c, nil
 }
@@ -356,9 +353,14 @@
 // a response to another request if its end is known from a length or chunks; otherwise that
 // response is an error.
 func readResponse(c *conn, q *Request) (*http.Response, error) {
-	c.limit.N = maxHeaderBytes
-	defer func() { c.limit.N = math.MaxInt64 }()
+	c.head.left = maxResponseBytes
+	defer c.head.lift()
 	for range maxResponses {
+		// Peek can't fail: it asks for no more than there is.
+		buffered, _ := c.r.Peek(c.r.Buffered())
+		if err := c.head.begin(buffered); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: q.Method})
 		if err != nil {
 			return nil, err
--- a/coord/upconn/upconn_test.go
+++ b/coord/upconn/upconn_test.go
@@ -186,7 +186,7 @@
 		"head":    "HTTP/1.1 200 OK\r\nId: 1\r\n",
 		"garbage": "\x00\x01\x02\r\n\r\n",
 		"nothing": "",
-		"endless": "HTTP/1.1 200 OK\r\n" + strings.Repeat("Id: 1\r\n", maxHeaderBytes),
+		"endless": "HTTP/1.1 200 OK\r\n" + strings.Repeat("Id: 1\r\n", maxResponseBytes),
 	} {
 		u := startUpstream(t, a)
 		if got, err := fetch(newPool(t), u, "1"); err == nil {
--- a/entry/proxy/prompt.go
+++ b/entry/proxy/prompt.go
@@ -19,7 +19,7 @@
 	// a cache is used.
 	kvCacheLifetimeShare = 0.7
 	// maxHandleBytes limits the body of the response to a prefill.
-	maxHandleBytes = 64 << 10
+	maxHandleBytes = 8 << 10
 	// freeTimeout bounds the request to free a KV cache. The engine drops an unused one by itself.
 	freeTimeout = time.Second
 )
