entry: requests whose last byte comes late in a planned stop

Cause: a request was decided on at its first byte and not again at its last; and a stream by 1.8 times the mean run, whatever its own length. Ruled out: new connections late in the grace period; their requests are refused.

--- a/entry/proxy/drain.go
+++ b/entry/proxy/drain.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
-	"cranberrypoint.example/coord/rules"
 	"github.com/rotisserie/eris"
 )
 
@@ -122,7 +121,11 @@
 	if s == nil || !x.deadline.After(s.deadline) {
 		return at, false
 	}
-	return s.deadline.Add(-p.longAnswerTime(x)), true
+	d := p.longAnswerTime(x)
+	if x.received.After(s.deregisteredAt) {
+		d = max(d, p.longestAnswerTime(x))
+	}
+	return s.deadline.Add(-d), true
 }
 
 // untilLatestSend returns a context for what must end before the request can be sent to an upstream. It ends with the
@@ -140,7 +143,7 @@
 
 // longAnswerTime returns a time within which most requests like this one are answered once they are sent.
 func (p *Proxy) longAnswerTime(x *exchange) time.Duration {
-	if x.route.Kind == rules.Streaming && x.service.Engine != nil {
+	if x.runsOnEngine() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.engineStats.longRunTime()
@@ -150,6 +153,22 @@
 	return time.Duration(longRunFactor * float64(p.limiter(limiterKey(x)).ServiceTime()))
 }
 
+// longestAnswerTime returns a time within which this request is answered once it is sent, however much longer than most it
+// takes. If nothing is known of such requests, that is all the time that the request has.
+func (p *Proxy) longestAnswerTime(x *exchange) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d, ok := p.engineStats.slowestAnswers.estimate(x.route.Name, 1)
+	if x.runsOnEngine() {
+		d, ok = p.engineStats.slowestTokens.estimate(x.service.Name, x.call.MaxTokens)
+		ok = ok && x.call.HasTokenCount
+	}
+	if !ok {
+		return x.timeLeft()
+	}
+	return d
+}
+
 // errCutOff means that the shutdown has cut off a request that an upstream may have run.
 var errCutOff = eris.New("the entry has stopped before the answer came")
 
--- a/entry/proxy/engines.go
+++ b/entry/proxy/engines.go
@@ -64,6 +64,10 @@
 	// meanRunTime is the average time of a run, from the head of its answer to its end, in
 	// nanoseconds.
 	meanRunTime float64
+	// slowestTokens holds the longest times of a token of a stream, by service, and slowestAnswers those of whole answers of
+	// plain upstreams, by route.
+	slowestTokens  slowest
+	slowestAnswers slowest
 	// agentlessTokens counts, for an instance whose agent is silent, the tokens of this entry's
 	// runs and prefills there.
 	agentlessTokens map[string]int64
@@ -75,6 +79,8 @@
 		gaps:                  map[string]float64{},
 		callerRetryEstimators: map[string]*callerRetryEstimator{},
 		agentlessTokens:       map[string]int64{},
+		slowestTokens:         slowest{},
+		slowestAnswers:        slowest{},
 	}
 }
 
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -29,6 +29,8 @@
 	// firstByteAt is when the request's first bytes arrived, arrived when its head was read.
 	firstByteAt time.Time
 	arrived     time.Time
+	// received is when the whole request had arrived; zero until then.
+	received time.Time
 	// deadline is when the request must have been answered.
 	deadline time.Time
 	call     calls.RequestInfo
--- a/entry/proxy/resume.go
+++ b/entry/proxy/resume.go
@@ -44,6 +44,11 @@
 // mayBeResumed reports whether a caller may take up the answer again after a break.
 func (x *exchange) mayBeResumed() bool { return x.route.Kind == rules.Streaming && x.route.Resumable }
 
+// runsOnEngine reports whether the answer is a stream of a model engine.
+func (x *exchange) runsOnEngine() bool {
+	return x.route.Kind == rules.Streaming && x.service.Engine != nil
+}
+
 // isResumed reports whether the request takes up a stream that has broken off.
 func (x *exchange) isResumed() bool {
 	return x.mayBeResumed() && (x.call.Resumes != "" || x.call.LastEvent != "")
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -62,7 +63,7 @@
 		p.fail(x, e)
 		return
 	}
-	if x.route.Kind == rules.Streaming && x.service.Engine != nil {
+	if x.runsOnEngine() {
 		p.serveStream(x)
 		return
 	}
@@ -115,7 +116,7 @@
 	if d := x.arrived.Add(c.TimeLeft); c.TimeLeft > 0 && d.Before(x.deadline) {
 		x.deadline = d
 	}
-	if e := p.checkDrain(x); e != nil {
+	if e := cmp.Or(p.checkDrain(x), p.checkEndsBeforeShutdown(x)); e != nil {
 		return e
 	}
 	if e := p.readBody(x, v.rules.Limits()); e != nil {
@@ -205,6 +206,7 @@
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	x.conn.Arrived()
+	x.received = time.Now()
 	x.body, x.hasBody = b, true
 	x.fingerprint = poison.Fingerprint(x.workspaceName(), x.r.Method, hostWithoutPort(x.r.Host), x.r.RequestURI, b...)
 	x.poisonKeys = poison.Keys(x.fingerprint, x.call.PromptParts)
--- a/entry/proxy/share.go
+++ b/entry/proxy/share.go
@@ -261,7 +261,14 @@
 // tryInSlot is tryUpstream for a request that has a slot, which it gives back also if the answer is aborted.
 func (p *Proxy) tryInSlot(x *exchange, u roster.Upstream) (done bool, err error) {
 	began := time.Now()
-	defer func() { p.endSlot(x, done, err, time.Since(began)) }()
+	defer func() {
+		p.endSlot(x, done, err, time.Since(began))
+		if x.record.outcome == outcomeAnswered {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.engineStats.slowestAnswers.record(x.route.Name, 1, time.Since(began))
+		}
+	}()
 	return p.tryUpstream(x, u)
 }
 
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -107,6 +107,7 @@
 	defer p.mu.Unlock()
 	if x.record.status < http.StatusMultipleChoices {
 		p.engineStats.recordRun(time.Since(began))
+		p.engineStats.slowestTokens.record(x.service.Name, x.call.MaxTokens, time.Since(began))
 	}
 	p.engineStats.recordGap(x.service.Name, x.record)
 	return true
--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -89,6 +89,7 @@
 		starts:       map[string]int64{},
 		heardLeaving: map[string]hearsay{},
 		signals:      newDrainSignals(),
+		engineStats:  newEngineStats(),
 		mesh:         mesh.New(&wire.Member{Name: "z", Role: mesh.RoleEntry}, nil, links, log),
 	}
 	for i, a := range addresses {
