entry: a stream of unknown origin needs a list that is newer than its request

What was reported: during a release one entry was out of step; streams of a new version were taken up there and went on at another version. Cause: if nobody says where a stream began, it went on if the entry had seen a single version. Lists were dated by their arrival, a gap of 8 s counted as none, and the last list might be as old. Change: views are dated by the reading of their list, a gap above 1 s begins them anew, and a stream of unknown origin waits up to 1 s for a list that was read after its request had come: that names its version, unless it has left. Ruled out: notes that are lost at their holders; the test has none at all.

--- a/coord/origin/history.go
+++ b/coord/origin/history.go
@@ -9,12 +9,12 @@
 	"cranberrypoint.example/coord/wire"
 )
 
-// maxObserveGap is the longest time between two views of all upstreams that may hide no version: one that starts, serves
-// and drains takes longer. It is longer than a kill of all entries, in which no stream begins.
-const maxObserveGap = 8 * time.Second
+// maxObserveGap is the longest time between two views of all upstreams that hides no version: one that joins, serves and
+// leaves again, or comes back under the names of its upstreams as another one, takes longer.
+const maxObserveGap = time.Second
 
 // currentTime is how long after its last sight a version counts as one of those that serve.
-const currentTime = 2 * time.Second
+const currentTime = maxObserveGap
 
 // History holds when upstreams of each version were last listed, and since when the process has seen all of them. A process
 // that has started has seen none of those that had left by then. Use NewHistory.
@@ -43,14 +43,17 @@
 	maps.DeleteFunc(m, func(_ string, t time.Time) bool { return now.Sub(t) > noteTime })
 }
 
-// Observe records that all upstreams are known at a time.
-func (h *History) Observe(now time.Time) {
+// Observe records that all upstreams are known as of a time: that of the list that tells of them.
+func (h *History) Observe(at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.Sub(h.lastObserved) > maxObserveGap {
-		h.observedSince = now
+	if at.Before(h.lastObserved) {
+		return
+	}
+	if at.Sub(h.lastObserved) > maxObserveGap {
+		h.observedSince = at
 	}
-	h.lastObserved = now
+	h.lastObserved = at
 }
 
 // Observed returns for how long back from now all versions have been seen; 0 for none.
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/calls"
+	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/intake"
@@ -29,6 +30,8 @@
 	// firstByteAt is when the request's first bytes arrived, arrived when its head was read.
 	firstByteAt time.Time
 	arrived     time.Time
+	// arrivedInstant is arrived on the clock that counts suspensions.
+	arrivedInstant clock.Instant
 	// received is when the whole request had arrived; zero until then.
 	received time.Time
 	// deadline is when the request must have been answered.
--- a/entry/proxy/resume.go
+++ b/entry/proxy/resume.go
@@ -25,6 +25,10 @@
 	// findOriginPause until then.
 	settleTime      = 4 * member.GossipInterval
 	findOriginPause = 100 * time.Millisecond
+	// listingTimeout is how long a stream of unknown origin waits for a newer list of upstreams, and listingPause the time
+	// between two looks at it.
+	listingTimeout = time.Second
+	listingPause   = 20 * time.Millisecond
 	// findOriginRetryAfter is the retry delay for callers whose stream may be known to a member that didn't
 	// answer.
 	findOriginRetryAfter = 500 * time.Millisecond
@@ -95,6 +99,10 @@
 		p.origins.Note(time.Now(), x.call.Resumes, a.origin)
 		return a.origin, originAsked, nil
 	}
+	if !p.awaitListing(x) {
+		e = fault.NotRun(fault.StreamUnknown, "it isn't known which version of the upstream began the stream, and the list of upstreams is older than the request")
+		return o, originUnknown, e.WithRetryAt(time.Now().Add(findOriginRetryAfter))
+	}
 	versions := append(a.seen, p.versionsWithin(x.streamTime(), x.service.Name)...)
 	slices.Sort(versions)
 	versions = slices.Compact(versions)
@@ -110,6 +118,19 @@
 	return o, originUnknown, e
 }
 
+// awaitListing waits until the upstreams are known as of a time after the request came, and reports whether they are. A stream
+// that is taken up has begun before, so the list names its version, unless that has left. An entry that is cut off or has stood
+// still has an older list, which may lack a version that has joined meanwhile.
+func (p *Proxy) awaitListing(x *exchange) bool {
+	end := time.Now().Add(listingTimeout)
+	for p.snapshot.Load().readAt < x.arrivedInstant {
+		if time.Now().After(end) || !pauseUnlessDone(x.ctx, listingPause) {
+			return false
+		}
+	}
+	return true
+}
+
 // isSettling reports whether this entry has started so recently that it may not know the other members yet.
 func (p *Proxy) isSettling() bool { return time.Since(p.startedAt) < settleTime }
 
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"cranberrypoint.example/coord/clock"
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/intake"
 	"cranberrypoint.example/coord/poison"
@@ -44,7 +45,7 @@
 	if p.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{w: w, r: r, firstByteAt: began, arrived: time.Now(), conn: intake.FromContext(r.Context())}
+	x := &exchange{w: w, r: r, firstByteAt: began, arrived: time.Now(), arrivedInstant: clock.Now(), conn: intake.FromContext(r.Context())}
 	x.setWriteDeadline(x.arrived.Add(defaultTimeout))
 	// The server reads the rest of the body of a request that is refused. An error means that the writer is a test's.
 	_ = http.NewResponseController(w).SetReadDeadline(x.arrived.Add(defaultTimeout))
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -135,8 +135,8 @@
 		}
 		p.learnCold(now, r, l, now.before(readAt), old == nil)
 		p.upstreams.Set(p.roster.Listed())
-		p.seeVersions(now.time)
-		p.versions.Observe(now.time)
+		p.seeVersions(now.before(readAt))
+		p.versions.Observe(now.before(readAt))
 		if !l.LacksEvacuated {
 			p.updateEvacuations(now, l, readAt)
 			n.evacuationsReadAt = readAt
