entry: streams of engines that have come back under their ids as another version

Cause: the version of an upstream is known by its list alone. Streams that began before the list showed the new process were noted with the old version, and streams of the old version might be taken up there. Change: a place at an engine names the start time of its process, as the manager beside it saw it last. If that isn't the listed one, a stream that goes on gets a place elsewhere, and one that begins is noted as of unknown version; once the process is listed, streams in progress there are noted anew.

--- a/coord/admit/hold.go
+++ b/coord/admit/hold.go
@@ -35,7 +35,7 @@
 		return errStopped
 	}
 	m.recordOutcome(q, o, time.Since(began))
-	if err := s.Send(holdReply(o)); err != nil || !o.Granted {
+	if err := s.Send(m.holdReply(o)); err != nil || !o.Granted {
 		return err
 	}
 	if awaitClose(s) {
@@ -175,8 +175,14 @@
 	}
 }
 
-func holdReply(o place.Outcome) *wire.HoldReply {
+func (m *Manager) holdReply(o place.Outcome) *wire.HoldReply {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	r := &wire.HoldReply{Granted: o.Granted, Reason: o.Reason}
+	if m.pollInterval == pollInterval {
+		// The report of an engine on another VM may be that of an earlier start.
+		r.StartedMillis = m.report.Usage.StartUnixMillis
+	}
 	if !o.Granted {
 		r.AgainMicros = max(0, time.Until(o.RetryAt)).Microseconds()
 	}
--- a/coord/origin/origin.go
+++ b/coord/origin/origin.go
@@ -35,6 +35,9 @@
 	maxNotes = 8192
 )
 
+// Unknown is the version of a stream whose upstream may have had one or another one when it began.
+const Unknown = "(unknown)"
+
 // Origin is where a stream began.
 type Origin struct {
 	Service string
--- a/entry/proxy/exchange.go
+++ b/entry/proxy/exchange.go
@@ -56,6 +56,8 @@
 	workspace *rules.Workspace
 	// tokens is how many tokens were taken from the workspace's limit.
 	tokens int64
+	// started is when the process of the engine that streams the answer started, as reservation.started.
+	started int64
 	// origin is where the stream began that the request takes up again; its version is empty for none.
 	origin origin.Origin
 	// bounds are the regions in which the request may run, and regions those of the data centres.
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -197,6 +197,8 @@
 	starts map[string]int64
 	// broken holds requests whose upstreams may have ended.
 	broken []brokenOff
+	// streams holds the streams in progress that may be taken up again.
+	streams map[*exchange]liveStream
 	// returnedAt holds when data centres were last taken back after an evacuation.
 	returnedAt map[string]time.Time
 	// sendsTo counts the sends of this entry that haven't ended, by data centre.
@@ -262,6 +264,7 @@
 		origins:           origin.NewTable(),
 		versions:          origin.NewHistory(),
 		evac:              evac.New(),
+		streams:           map[*exchange]liveStream{},
 		returnedAt:        map[string]time.Time{},
 		sendsTo:           map[string]int{},
 	}
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -214,7 +214,7 @@
 		return
 	}
 	if resp.Status < http.StatusMultipleChoices {
-		p.noteOrigin(x, u)
+		defer p.noteOrigin(x, u)()
 	}
 	err := p.relay(x, resp, flush)
 	p.metrics.answers.WithLabelValues(string(x.record.framing), string(x.record.end)).Inc()
--- a/entry/proxy/reserve.go
+++ b/entry/proxy/reserve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/origin"
 	"cranberrypoint.example/coord/place"
 	"cranberrypoint.example/coord/roster"
 	"cranberrypoint.example/coord/wire"
@@ -20,6 +21,8 @@
 // reservation is a granted reservation for one run on a decode engine.
 type reservation struct {
 	candidate candidate
+	// started is when the engine's process started, in Unix milliseconds, as its manager says; 0 if that isn't known.
+	started int64
 	// release ends the reservation. complete tells the manager that the whole answer was relayed.
 	release func(complete bool)
 }
@@ -211,7 +214,23 @@
 		Instance:       c.upstream.Instance,
 	})
 	r, release, err := p.reserve(ctx, c.subscription, q)
-	return reservationResult{reservation{c, release}, r, err}
+	return p.checkStarted(x, reservationResult{reservation{c, r.GetStartedMillis(), release}, r, err})
+}
+
+// checkStarted looks whether an engine has started again under its name since it was listed: its version isn't known until it
+// is listed again. A stream that goes on needs another engine, and one that begins is noted as of unknown version.
+func (p *Proxy) checkStarted(x *exchange, r reservationResult) reservationResult {
+	u := &r.reservation.candidate.upstream
+	started := r.reservation.started
+	if !x.mayBeResumed() || !r.reply.GetGranted() || started == 0 || u.Born == 0 || started == u.Born {
+		return r
+	}
+	if x.isResumed() {
+		r.reservation.release(false)
+		return reservationResult{err: errUpstreamLeaving}
+	}
+	u.Version = origin.Unknown
+	return r
 }
 
 // reserveWithoutAgent reserves a run on an engine whose manager is silent, out of this entry's
@@ -232,5 +251,5 @@
 		defer p.mu.Unlock()
 		p.engineStats.agentlessTokens[c.upstream.Instance] -= n
 	}
-	return reservationResult{reservation{c, release}, &wire.HoldReply{Granted: true}, nil}
+	return reservationResult{reservation{candidate: c, release: release}, &wire.HoldReply{Granted: true}, nil}
 }
--- a/entry/proxy/resume.go
+++ b/entry/proxy/resume.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -75,6 +74,9 @@
 	if e != nil {
 		return e
 	}
+	if o.Version == origin.Unknown {
+		return fault.NotRun(fault.StreamUnknown, "the upstream that began the stream had come back as another version")
+	}
 	if o.Service != x.service.Name {
 		s := p.snapshot.Load().rules.Service(o.Service)
 		if s == nil || !x.route.Serves(o.Service) {
@@ -197,36 +199,6 @@
 	return origin.Rank(request, p.mesh.Live(mesh.RoleAgent), p.mesh.Live(mesh.RoleEntry))
 }
 
-// noteOrigin lets this entry and a few other members remember where a stream began whose answer begins now.
-func (p *Proxy) noteOrigin(x *exchange, u roster.Upstream) {
-	if !x.mayBeResumed() || u.Version == "" {
-		return
-	}
-	request := cmp.Or(x.call.Resumes, x.call.ID)
-	p.origins.Note(time.Now(), request, origin.Origin{Service: u.Service, Version: u.Version})
-	m := &wire.StreamOrigin{Request: request, Service: u.Service, Version: u.Version}
-	members := p.originMembers(request)
-	next := make(chan *wire.Member, len(members))
-	for _, r := range members {
-		next <- r
-	}
-	close(next)
-	for range origin.Holders {
-		p.tasks.Go(func() { p.sendNote(m, next) })
-	}
-}
-
-// sendNote sends a note to the first of some members that takes it.
-func (p *Proxy) sendNote(m *wire.StreamOrigin, members <-chan *wire.Member) {
-	for r := range members {
-		_, err := link.Call(p.ctx, p.links, r.Address, link.NoteOrigin, m)
-		if err == nil {
-			return
-		}
-		p.log.WithField("event", "origin-unnoted").WithField("request", m.Request).WithField("peer", r.Name).WithError(err).Debug("a member didn't note where a stream began")
-	}
-}
-
 // checkVersion refuses a stream if no upstream is left of the version that began it.
 func (p *Proxy) checkVersion(x *exchange) *fault.Error {
 	v := x.origin.Version
--- a/entry/proxy/stream.go
+++ b/entry/proxy/stream.go
@@ -101,6 +101,7 @@
 		return false
 	}
 	x.mayHaveRun = true
+	x.started = res.started
 	began := time.Now()
 	p.deliver(x, res.candidate.upstream, resp, info, "decode", true)
 	p.mu.Lock()
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -214,6 +214,9 @@
 	if c.Before != nil && !c.Before.Leaving && (c.After == nil || c.After.Born != c.Before.Born) {
 		p.recordGone(*c.Before)
 	}
+	if c.After != nil {
+		p.correctOrigins(*c.After)
+	}
 	if c.Before != nil && c.After != nil && c.After.Born != c.Before.Born {
 		p.pauses.Forget(c.Before.Instance)
 		p.pacer.Forget(c.Before.Instance)
--- a/entry/proxy/watch_test.go
+++ b/entry/proxy/watch_test.go
@@ -83,6 +83,7 @@
 		origins:      origin.NewTable(),
 		versions:     origin.NewHistory(),
 		evac:         evac.New(),
+		streams:      map[*exchange]liveStream{},
 		returnedAt:   map[string]time.Time{},
 		sendsTo:      map[string]int{},
 		leaving:      map[string]time.Time{},
