edge, host: the end of a drain answers what waits

Change: 1 s before the end an entry fails what is unfinished, as not run (503, Retry-After) where nothing can have run, else as of unknown outcome; 2 s before it an agent refuses the runs that haven't started.

--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -43,6 +43,9 @@
 	// tickPeriod is the period of the worker's timer ticks, of the expiry of token reservations,
 	// and of the checks in Drain whether runs are still active.
 	tickPeriod = 20 * time.Millisecond
+	// answerTime is how long before the end of a drain runs that haven't started are refused, so that their entries can
+	// take them elsewhere.
+	answerTime = 2 * time.Second
 	// allocationCheckPeriod is the time between two checks for memory at the engine that no
 	// run owns.
 	allocationCheckPeriod = time.Second
@@ -210,6 +213,9 @@
 	h.trace.Add(time.Now(), trace.Event{Kind: trace.Draining})
 	h.log.Info("draining")
 	h.step(worker.DrainStarted{})
+	if d, ok := ctx.Deadline(); ok {
+		defer time.AfterFunc(time.Until(d)-answerTime, func() { h.step(worker.DrainEnded{}) }).Stop()
+	}
 	t := time.NewTicker(tickPeriod)
 	defer t.Stop()
 	for h.Status().Active > 0 {
--- a/coord/router/event.go
+++ b/coord/router/event.go
@@ -141,6 +141,9 @@
 // DrainStarted makes the entry refuse new requests.
 type DrainStarted struct{}
 
+// DrainEnded makes the entry fail the requests that it hasn't finished, because its process is about to end.
+type DrainEnded struct{}
+
 func (Configured) event()         {}
 func (Arrived) event()            {}
 func (CallerDisconnected) event() {}
@@ -156,6 +159,7 @@
 func (LoadReported) event()       {}
 func (Ticked) event()             {}
 func (DrainStarted) event()       {}
+func (DrainEnded) event()         {}
 
 // Effect is an output of Router.Step that the caller carries out.
 type Effect interface{ effect() }
--- a/coord/router/router.go
+++ b/coord/router/router.go
@@ -155,10 +155,25 @@
 		r.tick()
 	case DrainStarted:
 		r.draining = true
+	case DrainEnded:
+		r.drainEnded()
 	}
 	return r.effects
 }
 
+// drainEnded fails all requests: those that nothing can have run as not run, so that their callers may send them elsewhere.
+func (r *Router) drainEnded() {
+	r.draining = true
+	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
+		q := r.requests[id]
+		err := r.outcomeError(q)
+		if q.ran == wire.Ran_RAN_NO {
+			err = fault.NotRun(fault.Leaving, "the entry has stopped before the request could run").WithRetryAt(r.now.Add(callerRetryDelay))
+		}
+		r.fail(q, err)
+	}
+}
+
 func (r *Router) emit(e Effect) { r.effects = append(r.effects, e) }
 
 func (r *Router) trace(k trace.Kind, q *request, peer, detail string) {
--- a/coord/worker/event.go
+++ b/coord/worker/event.go
@@ -119,6 +119,9 @@
 // DrainStarted makes the agent refuse new runs.
 type DrainStarted struct{}
 
+// DrainEnded makes the agent refuse the runs that haven't started, because its process is about to end.
+type DrainEnded struct{}
+
 func (Opened) event()            {}
 func (Resumed) event()           {}
 func (FeedReceived) event()      {}
@@ -135,6 +138,7 @@
 func (Ticked) event()            {}
 func (Configured) event()        {}
 func (DrainStarted) event()      {}
+func (DrainEnded) event()        {}
 
 // Effect is an output of the state machine.
 type Effect interface{ effect() }
--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -286,6 +286,8 @@
 		w.handleConfigured(e)
 	case DrainStarted:
 		w.draining = true
+	case DrainEnded:
+		w.refuseWaiting(fault.NotRun(fault.Leaving, "the agent has stopped before the run could start"))
 	}
 	w.grantSlots()
 	return w.effects
@@ -304,6 +306,15 @@
 	}})
 }
 
+// refuseWaiting refuses all runs that haven't started, so that their entries take them elsewhere.
+func (w *Worker) refuseWaiting(err *fault.Error) {
+	for _, id := range w.sortedRunIDs() {
+		if r := w.runs[id]; r.phase == queued || r.phase == granted {
+			w.refuseRun(r, err)
+		}
+	}
+}
+
 // refusesNewRuns reports whether the agent is leaving, draining or evacuated. Runs that have started continue.
 func (w *Worker) refusesNewRuns() bool { return w.leaving || w.draining || w.evacuated }
 
--- a/coord/worker/worker_test.go
+++ b/coord/worker/worker_test.go
@@ -223,3 +223,28 @@
 		t.Error("a run got no slot, though its entry has newer settings than the agent")
 	}
 }
+
+// TestEndOfDrainRefusesWhatHasNotStarted guards against runs that wait for a slot when a drain ends: their entries lost them with
+// the process, and couldn't tell whether they had run.
+func TestEndOfDrainRefusesWhatHasNotStarted(t *testing.T) {
+	w := worker.New(start, 1, worker.WithSlots(2))
+	w.Step(start, worker.Configured{Tree: tree.Empty()})
+	w.Step(start, worker.Opened{Stream: 1, Open: newOpen("runs")})
+	w.Step(start, worker.FeedReceived{Stream: 1, Feed: &wire.Feed{}})
+	w.Step(start, worker.Opened{Stream: 2, Open: newOpen("granted")})
+	w.Step(start, worker.Opened{Stream: 3, Open: newOpen("queued")})
+	if e := failures(w.Step(start, worker.DrainStarted{})); len(e) > 0 {
+		t.Errorf("refused at the start of the drain: %v", e)
+	}
+	var codes []string
+	for _, f := range failures(w.Step(start, worker.DrainEnded{})) {
+		codes = append(codes, f.Code+" "+f.Ran.String())
+	}
+	leaving := string(fault.Leaving) + " " + wire.Ran_RAN_NO.String()
+	if d := cmp.Diff([]string{leaving, leaving}, codes); d != "" {
+		t.Errorf("refusals at the end of the drain (-want +got):\n%s", d)
+	}
+	if d := cmp.Diff(1, w.Active()); d != "" {
+		t.Errorf("active runs (-want +got):\n%s", d)
+	}
+}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -35,7 +35,9 @@
 
 const (
 	// tickPeriod is the time between two router.Ticked events.
-	tickPeriod        = 20 * time.Millisecond
+	tickPeriod = 20 * time.Millisecond
+	// answerTime is how long before the end of a drain unfinished requests fail, so that their callers still learn it.
+	answerTime        = time.Second
 	readHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes is the largest head of a request.
 	maxHeaderBytes = 64 << 10
@@ -76,8 +78,11 @@
 	// closeConnections is true once a drain has started: answers then ask callers to close
 	// their connections.
 	closeConnections atomic.Bool
-	ctx              context.Context
-	tasks            tasks.Group
+	// cutOff ends when a drain ends the requests that are unfinished.
+	cutOff context.Context
+	cut    context.CancelFunc
+	ctx    context.Context
+	tasks  tasks.Group
 
 	mu       sync.Mutex
 	router   *router.Router
@@ -120,6 +125,7 @@
 		queues:         map[router.RequestID]*effectQueue{},
 		streams:        map[router.RunRef]*runStream{},
 	}
+	e.cutOff, e.cut = context.WithCancel(context.Background())
 	e.intake = intake.NewGuard(s.Intake(), l, intake.WithMaxHead(func() int { return maxHeaderBytes }))
 	e.metrics.registry.MustRegister(e.intake.Collectors()...)
 	e.trace.Add(now, trace.Event{Kind: trace.Incarnated})
@@ -202,7 +208,8 @@
 
 // Drain reports not ready, so that the load balancer stops sending requests, keeps
 // accepting requests until notice has passed, and waits until all requests have finished
-// and their reservations are settled. It returns early if the context ends.
+// and their reservations are settled. It returns early if the context ends; shortly before, what is
+// unfinished fails.
 func (e *Edge) Drain(ctx context.Context, notice time.Duration) {
 	e.mu.Lock()
 	e.draining = true
@@ -212,6 +219,9 @@
 	// Idle connections stay open until notice has passed, because a request may be in
 	// flight on them.
 	e.closeConnections.Store(true)
+	if d, ok := ctx.Deadline(); ok {
+		defer time.AfterFunc(time.Until(d)-answerTime, e.endRequests).Stop()
+	}
 	select {
 	case <-time.After(notice):
 	case <-ctx.Done():
@@ -225,6 +235,12 @@
 	e.awaitSettlements(ctx)
 }
 
+// endRequests fails the requests that are unfinished shortly before a drain ends.
+func (e *Edge) endRequests() {
+	e.cut()
+	e.step(router.DrainEnded{})
+}
+
 // awaitSettlements waits until all reservations are settled or the context ends.
 func (e *Edge) awaitSettlements(ctx context.Context) {
 	for e.metrics.pendingSettlements.Load() > 0 && ctx.Err() == nil {
--- a/entry/edge/room.go
+++ b/entry/edge/room.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -35,6 +36,8 @@
 		if q.ContentLength == 0 {
 			c.Arrived()
 		}
+		// A body that hasn't come by the end of a drain isn't awaited any longer.
+		defer context.AfterFunc(e.cutOff, func() { setBodyDeadline(w, time.Now()) })()
 		h.ServeHTTP(w, q)
 	})
 }
@@ -85,6 +88,9 @@
 	}
 	c := intake.FromContext(q.Context())
 	b, err := c.ReadBody(http.MaxBytesReader(w, q.Body, limit), q.ContentLength)
+	if err != nil && e.cutOff.Err() != nil {
+		return nil, fault.NotRun(fault.Leaving, "the entry has stopped before the body came").WithRetryAt(time.Now().Add(intake.RetryAfter))
+	}
 	if err != nil {
 		return nil, faultOfReadError(err)
 	}
