entry: a connection isn't idle while a request runs that came with the one before

Cause: only bytes read from the socket ended the idle time; the second request was in the server's buffer. Change: the begin of a request ends it, and sets when its first bytes came.

--- a/entry/proxy/callers.go
+++ b/entry/proxy/callers.go
@@ -131,6 +131,10 @@
 		return time.Time{}, false
 	}
 	x.inRequest = true
+	if !x.idleSince.IsZero() {
+		// It came together with the request before it, so the server had read it by then.
+		x.idleSince, x.firstByteAt = time.Time{}, time.Now()
+	}
 	return x.firstByteAt, true
 }
 
--- a/entry/proxy/callers_test.go
+++ b/entry/proxy/callers_test.go
@@ -122,3 +122,53 @@
 		t.Errorf("the request can't be read: %v", err)
 	}
 }
+
+// TestPipelinedRequestIsNotIdle guards against a shutdown that closes connections on which a request runs that came together with
+// the one before it: the server had read it by then, so the connection counted as idle.
+func TestPipelinedRequestIsNotIdle(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newConnTracker(l)
+	running := make(chan struct{})
+	goOn := make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := c.beginRequest(r.Context()); !ok {
+			panic(http.ErrAbortHandler)
+		}
+		if r.URL.Path == "/long" {
+			close(running)
+			<-goOn
+		}
+		_, _ = w.Write([]byte("whole"))
+	}))
+	s.Config.ConnState = c.trackState
+	s.Config.ConnContext = c.connContext
+	_ = s.Listener.Close()
+	s.Listener = c
+	s.Start()
+	defer s.Close()
+	n, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = n.Close() }()
+	if _, err := io.WriteString(n, "GET /short HTTP/1.1\r\nHost: h\r\n\r\nGET /long HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	c.closeIdle(time.Now().Add(time.Minute))
+	close(goOn)
+	r := bufio.NewReader(n)
+	for _, path := range []string{"/short", "/long"} {
+		a, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%s has no answer: %v", path, err)
+		}
+		if b, err := io.ReadAll(a.Body); string(b) != "whole" || err != nil {
+			t.Errorf("%s: answer %q, error %v", path, b, err)
+		}
+		_ = a.Body.Close()
+	}
+}
