entry: late calls of which nothing is known are judged by their route's latency target

A calm stop must lose nothing that it kept before. Evidence: TestDrain..., TestSignals..., TestStopRefuses... pass.

--- a/entry/proxy/drain.go
+++ b/entry/proxy/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/rules"
 	"github.com/rotisserie/eris"
 )
 
@@ -154,7 +155,7 @@
 }
 
 // longestAnswerTime returns a time within which this request is answered once it is sent, however much longer than most it
-// takes. If nothing is known of such requests, that is all the time that the request has.
+// takes. If nothing is known of such requests, that follows from the latency target of a call, and is all the time that a stream has.
 func (p *Proxy) longestAnswerTime(x *exchange) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -163,10 +164,13 @@
 		d, ok = p.engineStats.slowestTokens.estimate(x.service.Name, x.call.MaxTokens)
 		ok = ok && x.call.HasTokenCount
 	}
-	if !ok {
+	switch {
+	case ok:
+		return d
+	case x.route.Kind == rules.Streaming || x.route.TargetLatency <= 0:
 		return x.timeLeft()
 	}
-	return d
+	return time.Duration(attemptLatencyFactor * float64(x.route.TargetLatency))
 }
 
 // errCutOff means that the shutdown has cut off a request that an upstream may have run.
