upconn: the test of endless answers passes over connections that weren't opened

Change: such calls are made again until their time is over; any other error that says "not sent" still fails the test, and the bound on memory is as before.

--- a/coord/upconn/head_test.go
+++ b/coord/upconn/head_test.go
@@ -107,6 +107,13 @@
 	for range endlessCalls {
 		wait.Go(func() {
 			r, err := p.Do(ctx, address, newRequest("1"))
+			for isDialError(err) && ctx.Err() == nil {
+				// A busy machine takes no connection in time, so nothing was sent.
+				r, err = p.Do(ctx, address, newRequest("1"))
+			}
+			if isDialError(err) {
+				return
+			}
 			if err != nil {
 				if !maybeSent(err) {
 					t.Errorf("error %v of a call that was sent", err)
@@ -129,6 +136,12 @@
 	}
 }
 
+// isDialError reports whether a connection couldn't be opened.
+func isDialError(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
+
 // liveBytes returns the size of the live objects on the heap.
 func liveBytes() int64 {
 	runtime.GC()
