entry: an origin is checked against the list of the moment when it is noted

Cause, by reading: the engine was picked from the old list, and the answer's head came after the new one; streams are corrected when the list changes, and this one wasn't among them yet. Change: when a stream is noted it is corrected by the list that is in force then; both happen under the same lock.

--- a/entry/proxy/notes.go
+++ b/entry/proxy/notes.go
@@ -29,8 +29,17 @@
 	request := cmp.Or(x.call.Resumes, x.call.ID)
 	p.mu.Lock()
 	p.streams[x] = liveStream{request: request, instance: u.Instance, version: u.Version, born: cmp.Or(x.started, u.Born), isCertain: x.started != 0}
+	// The list may have changed since the upstream was picked.
+	if v := p.snapshot.Load(); v != nil {
+		for _, n := range v.services[u.Service] {
+			if n.Instance == u.Instance {
+				p.correctOrigins(n)
+			}
+		}
+	}
+	version := p.streams[x].version
 	p.mu.Unlock()
-	if u.Version != "" {
+	if version != "" && version == u.Version {
 		p.spreadOrigin(request, origin.Origin{Service: u.Service, Version: u.Version})
 	}
 	return func() {
