upconn: a reset that a write meets isn't the end of an answer

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written; the part reached the caller as a complete answer. Cause: the kernel reports a reset once, to the first call that meets it. If that is the write of the upload, the read beside it sees an orderly end, which ends a body without a length. Ruled out: an orderly close by the upstream's kernel (the same socket reports the reset to a read where nobody writes), and a close on our side (the connection is open here all the while). Change: coord/resets wraps a connection; a read that meets the end of a connection that is closed both ways returns the error of the write that met the reset. EPIPE isn't one: the kernel returns it for a reset after an orderly end. Why that works: the write's error was taken by a call that ended, or is about to end, before the read saw the end, so waiting for the write settles it without a timer.

--- a/coord/fake/ending.go
+++ b/coord/fake/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -26,6 +27,16 @@
 	Endless bool
 	// Reset is true if the connection is reset instead of closed.
 	Reset bool
+	// Early is true if the answer comes before the body of the request is read.
+	Early bool
+}
+
+// ReadBody reads the body of a request that is to be answered with an ending; nil is the usual one.
+func (e *Ending) ReadBody(q *http.Request) ([]byte, error) {
+	if e != nil && e.Early {
+		return nil, nil
+	}
+	return io.ReadAll(q.Body)
 }
 
 // Write writes an answer with status 200, the headers of w and this ending to the connection of
@@ -47,9 +58,15 @@
 	for e.Endless && err == nil {
 		_, err = c.Write([]byte(endlessPart))
 	}
-	if t, ok := c.(*net.TCPConn); ok && e.Reset {
+	t, ok := c.(*net.TCPConn)
+	switch {
+	case ok && e.Reset:
 		time.Sleep(resetDelay)
 		return t.SetLinger(0)
+	case ok && e.Early:
+		// A close with unread bytes would be a reset.
+		_ = t.CloseWrite()
+		_, _ = io.Copy(io.Discard, t)
 	}
 	return nil
 }
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -21,6 +21,7 @@
 
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/resets"
 )
 
 const (
@@ -253,9 +254,10 @@
 	if p.onDial != nil {
 		p.onDial()
 	}
-	h := &headReader{Reader: n}
+	s := resets.New(n)
+	h := &headReader{Reader: s}
 	h.lift()
-	c := &conn{Conn: n, head: h, r: bufio.NewReaderSize(h, readBufferBytes)}
+	c := &conn{Conn: s, head: h, r: bufio.NewReaderSize(h, readBufferBytes)}
 	c.onClose = sync.OnceFunc(func() { p.releaseConn(address) })
 	return c, nil
 }
