agent: a reset that a write meets isn't the end of an answer

Cause: the agents' clients use http.Transport, whose write loop meets the reset while its read loop waits, and closes the connection after it. Ruled out: entry and agent between them (the agent reported the call as done). Change: the agents' transports open their connections by upconn.Dial, which uses coord/resets.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -20,6 +20,7 @@
 	"net/url"
 
 	"cranberrypoint.example/coord/fault"
+	"cranberrypoint.example/coord/upconn"
 	"github.com/rotisserie/eris"
 )
 
@@ -143,7 +144,7 @@
 // name their request, so on a connection that is in use again, a late second copy of one would be taken
 // for the next. A prefill would get the KV cache of another prompt.
 func New(base string) *Client {
-	return &Client{base: base, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}}}
+	return &Client{base: base, http: &http.Client{Transport: &http.Transport{DialContext: upconn.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}}}
 }
 
 // Base returns the base URL of the engine.
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -16,6 +16,7 @@
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
 	"cranberrypoint.example/coord/hops"
+	"cranberrypoint.example/coord/upconn"
 	"cranberrypoint.example/coord/wire"
 )
 
@@ -42,7 +43,7 @@
 func New(base string) *Client {
 	return &Client{
 		base: strings.TrimSuffix(base, "/"),
-		http: newHTTPClient(&http.Transport{DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}),
+		http: newHTTPClient(&http.Transport{DialContext: upconn.Dial, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}),
 	}
 }
 
--- a/coord/resets/resets.go
+++ b/coord/resets/resets.go
@@ -54,7 +54,7 @@
 	if !c.hungUp() {
 		return io.EOF
 	}
-	// A write on a connection that is closed both ways returns at once, so this doesn't wait for an upload.
+	// A write on such a connection returns at once, so this doesn't wait for an upload.
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !isConnError(c.writeErr) {
@@ -70,21 +70,20 @@
 	return errors.As(err, &n) && n != syscall.EPIPE
 }
 
-// hungUp reports whether the connection is closed in both directions. After an orderly end it is open for writing
-// until this side closes it or the peer resets it.
+// hungUp reports whether the connection is closed in both directions, or by this side, as a writer may do whose write has
+// failed. After an orderly end it is open for writing until then.
 func (c *Conn) hungUp() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
 	hungUp := false
-	// An error means that this side has closed the connection.
-	_ = raw.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		p := []unix.PollFd{{Fd: int32(fd)}}
 		n, err := unix.Poll(p, 0)
 		hungUp = err == nil && n > 0 && p[0].Revents&unix.POLLHUP != 0
 	})
-	return hungUp
+	return hungUp || err != nil
 }
 
 // errNoSocket means that a connection is not a socket.
--- a/coord/resets/resets_test.go
+++ b/coord/resets/resets_test.go
@@ -107,6 +107,25 @@
 	}
 }
 
+// TestReadBesideWriterThatCloses is TestReadBesideWrite where the writer closes the connection after its write has failed, as
+// http.Transport does. A read that this close ends is no orderly end either.
+func TestReadBesideWriterThatCloses(t *testing.T) {
+	for range races {
+		c, peer := pair(t)
+		go func() {
+			_, _ = c.Write(make([]byte, uploadBytes))
+			_ = c.Close()
+		}()
+		write(t, peer, "part")
+		time.Sleep(time.Millisecond)
+		reset(peer)
+		if b, err := io.ReadAll(c); err == nil {
+			t.Errorf("%d bytes and an orderly end", len(b))
+		}
+		_ = peer.Close()
+	}
+}
+
 // checkOrderly reads to the end, which must be an orderly one, after a text.
 func checkOrderly(t *testing.T, c *Conn, text string) {
 	t.Helper()
--- a/coord/upconn/conn.go
+++ b/coord/upconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"time"
 
 	"cranberrypoint.example/coord/intake"
+	"cranberrypoint.example/coord/resets"
 	"golang.org/x/sys/unix"
 )
 
@@ -128,6 +130,16 @@
 	return func() { _ = setUserTimeout(raw, tcpUserTimeout) }
 }
 
+// Dial opens a TCP connection for an HTTP client other than Pool, as http.Transport.DialContext does without a dialer of its own. A
+// reset of the connection is never an orderly end.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return resets.New(c), nil
+}
+
 // newDialer returns a dialer whose connections fail within seconds if the other host no longer
 // acknowledges TCP segments or probes: by TCP_USER_TIMEOUT while bytes are unacknowledged,
 // otherwise by keep-alive probes.
--- a/local/stand/service.go
+++ b/local/stand/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +10,9 @@
 	"github.com/gorilla/mux"
 )
 
+// EarlyBody is the body of an answer that comes before the body of its request is read.
+const EarlyBody = "early answer"
+
 // Service is a plain service that counts each effect by request id. The query values
 // delay and status of a call set how long it takes and what it answers.
 type Service struct {
@@ -61,8 +63,8 @@
 }
 
 // SetEnding sets how the answers that begin from now on are framed and end. Such an answer has
-// the request's body as its own, and the media type that the request accepts. Nil means the
-// usual answers.
+// the request's body as its own, or EarlyBody if it doesn't read that, and the media type that the
+// request accepts. Nil means the usual answers.
 func (s *Service) SetEnding(e *fake.Ending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,11 +100,14 @@
 	if d, err := time.ParseDuration(q.URL.Query().Get("delay")); err == nil {
 		time.Sleep(d)
 	}
-	b, _ := io.ReadAll(q.Body)
+	b, _ := e.ReadBody(q)
 	if c := s.crashOn(string(b)); c != nil {
 		c()
 		panic(http.ErrAbortHandler)
 	}
+	if e != nil && e.Early {
+		b = []byte(EarlyBody)
+	}
 	if e != nil {
 		w.Header().Set("Content-Type", q.Header.Get("Accept"))
 		_ = e.Write(w, string(b))
--- a/local/world/world_test.go
+++ b/local/world/world_test.go
@@ -21,7 +21,13 @@
 
 func start(t *testing.T) *world.World {
 	t.Helper()
-	w, stop, err := world.Start(world.Example(""), world.Quiet())
+	return startOf(t, world.Example(""))
+}
+
+// startOf starts the deployment of a profile and waits until it serves requests.
+func startOf(t *testing.T, p world.Profile) *world.World {
+	t.Helper()
+	w, stop, err := world.Start(p, world.Quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
