heads: an answer whose status doesn't exist is none

What callers saw (reported from other systems, and here in part): an answer with status 000, 099 or +20 was skipped as an interim one, and what followed it on the connection was the caller's answer; 101, 600, 999 and 200 of "HTTP/2.0" were passed on. Cause: the standard library's parser takes any three characters that are a number and any version, and upconn took everything under 200 for interim. Ruled out: the entry's writing. Change: coord/heads, the former head reader of upconn, checks the status line before the parser does, and upconn that the head has ended where the parser says so. Such an answer is none: the request may have run, so callers get 502, after another try where that is allowed.

--- a/coord/fake/ending.go
+++ b/coord/fake/ending.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -27,6 +28,12 @@
 	Endless bool
 	// Reset is true if the connection is reset instead of closed.
 	Reset bool
+	// StatusLine is the first line of the answer, without its end; empty for one with status 200.
+	StatusLine string
+	// Lines are written as they are at the end of the head, before those of the framing.
+	Lines string
+	// FirstBytes is the number of bytes, from the beginning of the answer, that are sent; 0 for all.
+	FirstBytes int
 	// Early is true if the answer comes before the body of the request is read.
 	Early bool
 }
@@ -47,14 +54,19 @@
 		return err
 	}
 	defer func() { _ = c.Close() }()
-	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n"))
+	out := io.Writer(c)
+	if e.FirstBytes > 0 {
+		out = &firstBytes{c, e.FirstBytes}
+	}
+	_, _ = fmt.Fprintf(out, "%s\r\n", cmp.Or(e.StatusLine, "HTTP/1.1 200 OK"))
 	if e.Missing == 0 && e.Framing != frame.Connection {
 		// A client that kept the connection of a whole answer might send its next request just before it is
 		// closed.
 		w.Header().Set("Connection", "close")
 	}
-	_ = w.Header().Write(c)
-	e.writeBody(c, body)
+	_ = w.Header().Write(out)
+	_, _ = io.WriteString(out, e.Lines)
+	e.writeBody(out, body)
 	for e.Endless && err == nil {
 		_, err = c.Write([]byte(endlessPart))
 	}
@@ -73,7 +85,7 @@
 
 // writeBody writes the headers of the framing and the body without its missing bytes. Without a
 // framing it writes a header that is not finished.
-func (e Ending) writeBody(c net.Conn, body string) {
+func (e Ending) writeBody(c io.Writer, body string) {
 	sent := body[:max(0, len(body)-e.Missing)]
 	marked := e.Marked || len(sent) == len(body)
 	switch e.Framing {
@@ -97,3 +109,16 @@
 		_, _ = fmt.Fprint(c, "X-Long: ")
 	}
 }
+
+// firstBytes passes on the first left bytes, and drops the others.
+type firstBytes struct {
+	w    io.Writer
+	left int
+}
+
+// Write implements io.Writer.
+func (f *firstBytes) Write(b []byte) (int, error) {
+	n, err := f.w.Write(b[:min(len(b), f.left)])
+	f.left -= n
+	return len(b), err
+}
--- /dev/null
+++ b/coord/heads/heads.go
@@ -0,0 +1,122 @@
+// Package heads checks the heads of HTTP/1.1 responses as they are read, and bounds them.
+//
+// The parser of the standard library is lenient: it takes a status of 000 and names with blanks in them, and skips or passes on
+// what it doesn't understand. From an upstream in trouble that is no answer. What RFC 9112 lets a recipient tolerate is accepted only
+// where it can't change what the head says: a line feed as the end of a line, more blanks before the status and none after it.
+package heads
+
+import (
+	"bytes"
+	"io"
+	"math"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// MaxBytes and MaxLines bound the head of one response. A parsed line takes far more memory than the few bytes that it may have.
+const (
+	MaxBytes = 32 << 10
+	MaxLines = 512
+)
+
+// ErrTooLarge means that the head of a response exceeds a bound.
+var ErrTooLarge = eris.New("the head of the answer is too large")
+
+// Reader reads from a connection and checks the heads of responses. An upstream in trouble may send bytes without end, which a
+// parser would keep.
+type Reader struct {
+	r io.Reader
+	// left is how many bytes may still be read.
+	left int64
+	// inHead is true from Begin until a head of a final response has ended.
+	inHead bool
+	// bytes and lines are the size of the head so far.
+	bytes, lines int
+	// line is the part of the current line that has come.
+	line []byte
+	// status is that of the head.
+	status int
+}
+
+// NewReader returns a reader that passes on all bytes of r until Begin is called.
+func NewReader(r io.Reader) *Reader { return &Reader{r: r, left: math.MaxInt64} }
+
+// Limit bounds the bytes that may still be read.
+func (h *Reader) Limit(n int64) { h.left = n }
+
+// Lift ends the check of a head, and all bounds.
+func (h *Reader) Lift() { h.inHead, h.left = false, math.MaxInt64 }
+
+// Begin checks the next head, of which the bytes in buffered have been read already. After the head of an interim response, the one
+// that follows is checked.
+func (h *Reader) Begin(buffered []byte) error {
+	h.begin()
+	return h.scan(buffered)
+}
+
+func (h *Reader) begin() {
+	h.inHead, h.bytes, h.lines, h.line, h.status = true, 0, 0, h.line[:0], 0
+}
+
+// InHead reports whether the head of a final response is still to end.
+func (h *Reader) InHead() bool { return h.inHead }
+
+// Read reads from the connection. The error is that of the head, in place of the bytes that show it.
+func (h *Reader) Read(p []byte) (int, error) {
+	if h.left <= 0 {
+		return 0, ErrTooLarge
+	}
+	p = p[:min(int64(len(p)), h.left)]
+	n, err := h.r.Read(p)
+	h.left -= int64(n)
+	if e := h.scan(p[:n]); e != nil {
+		return 0, e
+	}
+	return n, err
+}
+
+// scan checks the lines of heads up to the empty line that ends that of a final response.
+func (h *Reader) scan(b []byte) error {
+	for h.inHead && len(b) > 0 {
+		part, rest, ended := bytes.Cut(b, []byte("\n"))
+		h.bytes += len(b) - len(rest)
+		if h.bytes > MaxBytes {
+			return ErrTooLarge
+		}
+		h.line = append(h.line, part...)
+		b = rest
+		if !ended {
+			break
+		}
+		if err := h.endLine(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// endLine checks a line that has ended.
+func (h *Reader) endLine() (err error) {
+	line, _ := bytes.CutSuffix(h.line, []byte("\r"))
+	h.line = h.line[:0]
+	h.lines++
+	switch {
+	case h.lines > MaxLines:
+		return ErrTooLarge
+	case h.lines == 1:
+		h.status, err = checkStatusLine(line)
+	case len(line) == 0:
+		h.endHead()
+	}
+	return err
+}
+
+// endHead ends a head. Another one follows that of an interim response.
+func (h *Reader) endHead() {
+	if h.status < http.StatusOK {
+		h.begin()
+		return
+	}
+	h.inHead, h.line = false, nil
+}
--- /dev/null
+++ b/coord/heads/status.go
@@ -0,0 +1,63 @@
+package heads
+
+import (
+	"bytes"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// The statuses that HTTP defines have three digits and lie between two bounds.
+const (
+	statusDigits = 3
+	minStatus    = 100
+	maxStatus    = 599
+)
+
+// Errors of first lines of heads.
+var (
+	errNoHTTP   = eris.New("the answer doesn't begin with a status line of HTTP/1")
+	errStatus   = eris.New("the answer has a status that doesn't exist")
+	errSwitched = eris.New("the answer switches to a protocol that wasn't asked for")
+	errReason   = eris.New("the status line of the answer has a control byte")
+)
+
+// checkStatusLine checks the first line of a head, as "HTTP/1.1 200 OK", without its end, and returns its status.
+func checkStatusLine(l []byte) (status int, err error) {
+	version, rest, ok := bytes.Cut(l, []byte(" "))
+	minor, isHTTP := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !ok || !isHTTP || len(minor) != 1 || !isDigit(minor[0]) {
+		return 0, errNoHTTP
+	}
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if len(code) != statusDigits {
+		return 0, errStatus
+	}
+	for _, c := range code {
+		if !isDigit(c) {
+			return 0, errStatus
+		}
+		status = 10*status + int(c-'0')
+	}
+	switch {
+	case status < minStatus, status > maxStatus:
+		return 0, errStatus
+	case status == http.StatusSwitchingProtocols:
+		return 0, errSwitched
+	case !isText(reason):
+		return 0, errReason
+	}
+	return status, nil
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// isText reports whether all bytes may stand in a reason or in the value of a field: no control bytes but tabs.
+func isText(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == '\x7f' {
+			return false
+		}
+	}
+	return true
+}
--- a/coord/upconn/conn.go
+++ b/coord/upconn/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,8 +9,8 @@
 	"syscall"
 	"time"
 
+	"cranberrypoint.example/coord/heads"
 	"cranberrypoint.example/coord/intake"
-	"cranberrypoint.example/coord/resets"
 	"golang.org/x/sys/unix"
 )
 
@@ -38,8 +37,8 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
-	// head is what r reads from. Its bounds are in force only while the head of a response is read.
-	head *headReader
+	// head is what r reads from. It checks only while the head of a response is read.
+	head *heads.Reader
 	// expiresAt is when the connection, if idle, is too old to be reused.
 	expiresAt time.Time
 	// onClose tells the pool that the connection is closed. Only the first call has an effect.
@@ -130,16 +129,6 @@
 	return func() { _ = setUserTimeout(raw, tcpUserTimeout) }
 }
 
-// Dial opens a TCP connection for an HTTP client other than Pool, as http.Transport.DialContext does without a dialer of its own. A
-// reset of the connection is never an orderly end.
-func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return resets.New(c), nil
-}
-
 // newDialer returns a dialer whose connections fail within seconds if the other host no longer
 // acknowledges TCP segments or probes: by TCP_USER_TIMEOUT while bytes are unacknowledged,
 // otherwise by keep-alive probes.
--- a/coord/upconn/head_test.go
+++ b/coord/upconn/head_test.go
@@ -174,32 +174,3 @@
 		}
 	}
 }
-
-// TestHeadBounds checks the bounds byte by byte, however the head is cut.
-func TestHeadBounds(t *testing.T) {
-	line := strings.Repeat("a", 126) + "\r\n"
-	for _, c := range []struct {
-		name, head string
-		want       error
-	}{
-		{"as many bytes as allowed", strings.Repeat(line, maxHeadBytes/len(line)-1) + strings.Repeat("a", 124) + "\r\n\r\n", nil},
-		{"a byte more", strings.Repeat(line, maxHeadBytes/len(line)-1) + strings.Repeat("a", 125) + "\r\n\r\n", errHeadTooLarge},
-		{"as many lines as allowed", strings.Repeat("a\n", maxHeadLines-1) + "\n", nil},
-		{"a line more", strings.Repeat("a\n", maxHeadLines) + "\n", errHeadTooLarge},
-	} {
-		for _, n := range []int{1, 7, 512, len(c.head)} {
-			h := &headReader{Reader: strings.NewReader(c.head + strings.Repeat("\n", 2*maxHeadLines)), left: maxResponseBytes}
-			err := h.begin(nil)
-			b := make([]byte, n)
-			for err == nil {
-				_, err = h.Read(b)
-			}
-			if errors.Is(err, io.EOF) {
-				err = nil
-			}
-			if !errors.Is(err, c.want) {
-				t.Errorf("%s, %d at a time: error %v, want %v", c.name, n, err, c.want)
-			}
-		}
-	}
-}
--- /dev/null
+++ b/coord/upconn/strict_test.go
@@ -0,0 +1,112 @@
+package upconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"cranberrypoint.example/coord/fake"
+	"github.com/google/go-cmp/cmp"
+)
+
+// got is what a caller gets of an answer: its status, which is 0 for none, and its body.
+type got struct {
+	Status int
+	Body   string
+}
+
+// callRaw sends a request to an upstream that answers with a text and closes the connection in an orderly way.
+func callRaw(t *testing.T, text string) got {
+	t.Helper()
+	address, stop, err := fake.Raw(func(c *net.TCPConn) {
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		_, _ = io.WriteString(c, text)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	r, err := newPool(t).Do(t.Context(), address, newRequest("1"))
+	if err != nil {
+		return got{}
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return got{Status: r.Status, Body: "broken off"}
+	}
+	return got{r.Status, string(b)}
+}
+
+// checkRefused checks that answers that begin with a head, given without the end of its last line, are none.
+func checkRefused(t *testing.T, heads map[string]string) {
+	t.Helper()
+	for name, head := range heads {
+		if d := cmp.Diff(got{}, callRaw(t, head+"\r\n\r\nbody!")); d != "" {
+			t.Errorf("%s (-want +got):\n%s", name, d)
+		}
+	}
+}
+
+// TestStatusLinesOfNoAnswer guards against answers of upstreams in trouble whose first line is none of HTTP/1.1. One with status
+// 000 was taken for an interim answer, and what followed it for the answer.
+func TestStatusLinesOfNoAnswer(t *testing.T) {
+	const next = "\r\nId: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5"
+	heads := map[string]string{}
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 001 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -00 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK",
+		"HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1  OK",
+		"HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/3 200 OK", "HTTP/11 200 OK", "http/1.1 200 OK", "XTTP/1.1 200 OK",
+		"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 200 O\rK", "HTTP/1.1 20\x000 OK", " HTTP/1.1 200 OK", "\x00HTTP/1.1 200 OK", "ICY 200 OK", "",
+	} {
+		heads[line] = line + "\r\nId: 1\r\nContent-Length: 5"
+		heads[line+", then a whole answer"] = line + next
+	}
+	checkRefused(t, heads)
+}
+
+// TestOddHeadsOfAnswers checks that answers with unusual heads that are legal, or that receivers may read as such, are passed on.
+func TestOddHeadsOfAnswers(t *testing.T) {
+	const field = "\r\nId: 1\r\nContent-Length: 5"
+	for name, c := range map[string]struct {
+		head   string
+		status int
+	}{
+		"no reason":                        {"HTTP/1.1 200 " + field, 200},
+		"no reason and no space":           {"HTTP/1.1 200" + field, 200},
+		"two blanks before the status":     {"HTTP/1.1  200 OK" + field, 200},
+		"a reason in another language":     {"HTTP/1.1 404 Gibt\xe4s nicht" + field, 404},
+		"a tab in the reason":              {"HTTP/1.1 200 O\tK" + field, 200},
+		"HTTP/1.0":                         {"HTTP/1.0 200 OK" + field, 200},
+		"an unknown status":                {"HTTP/1.1 599 Odd" + field, 599},
+		"status 299":                       {"HTTP/1.1 299 Odd" + field, 299},
+		"two interim answers":              {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK" + field, 200},
+		"line feeds only":                  {strings.ReplaceAll("HTTP/1.1 200 OK"+field, "\r\n", "\n"), 200},
+		"an empty value":                   {"HTTP/1.1 200 OK\r\nX-Empty:" + field, 200},
+		"blanks around a value":            {"HTTP/1.1 200 OK\r\nX-Blank: \t a \t " + field, 200},
+		"no blank before a value":          {"HTTP/1.1 200 OK\r\nId:1\r\nContent-Length:5", 200},
+		"an odd name":                      {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: a" + field, 200},
+		"a colon first in a value":         {"HTTP/1.1 200 OK\r\nX-Colon::a: b" + field, 200},
+		"another alphabet in a value":      {"HTTP/1.1 200 OK\r\nX-Text: \xc3\xa4\xff" + field, 200},
+		"the same name twice":              {"HTTP/1.1 200 OK\r\nX-Two: a\r\nx-two: b" + field, 200},
+		"the same length twice":            {"HTTP/1.1 200 OK\r\nContent-Length: 5" + field, 200},
+		"no framing":                       {"HTTP/1.1 200 OK\r\nId: 1", 200},
+		"no framing, Connection: close":    {"HTTP/1.1 200 OK\r\nConnection: close\r\nId: 1", 200},
+		"a refusal without a request's id": {"HTTP/1.1 503 Full\r\nId: 1\r\nX-Not-Run: 1\r\nContent-Length: 5", 503},
+	} {
+		if d := cmp.Diff(got{c.status, "body!"}, callRaw(t, c.head+"\r\n\r\nbody!")); d != "" {
+			t.Errorf("%s (-want +got):\n%s", name, d)
+		}
+	}
+	const chunks = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: Chunked\r\n\r\n5;ext=1\r\nbody!\r\n0\r\nX-Trailer: a\r\n\r\n"
+	if d := cmp.Diff(got{200, "body!"}, callRaw(t, chunks)); d != "" {
+		t.Errorf("chunks with an extension and a trailer (-want +got):\n%s", d)
+	}
+}
--- a/coord/upconn/upconn.go
+++ b/coord/upconn/upconn.go
@@ -21,7 +21,9 @@
 
 	"cranberrypoint.example/coord/fault"
 	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/coord/heads"
 	"cranberrypoint.example/coord/resets"
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -32,6 +34,9 @@
 	// maxSyncBodyBytes is the largest request body that is written before the response is read.
 	// Larger ones are written by a goroutine of their own.
 	maxSyncBodyBytes = 32 << 10
+	// maxResponseBytes bounds the bytes that are read from the connection until the head of the
+	// response is complete. Whole responses that are skipped before it count too.
+	maxResponseBytes = 256 << 10
 	// maxResponses bounds the responses that are read for one request: interim ones, those
 	// that belong to other requests, and its own.
 	maxResponses = 3
@@ -121,6 +126,9 @@
 // read, or came after one of another request whose end can't be found.
 var errNoMatch = errors.New("the answer belongs to another request")
 
+// errHeadUnfinished means that the parser took a part of a head for the whole.
+var errHeadUnfinished = eris.New("the head of the answer has no end")
+
 // ErrMaxConns means that Request.MaxConns connections are open. The upstream would reset
 // another one.
 var ErrMaxConns = errors.New("the upstream takes no more connections")
@@ -255,8 +263,7 @@
 		p.onDial()
 	}
 	s := resets.New(n)
-	h := &headReader{Reader: s}
-	h.lift()
+	h := heads.NewReader(s)
 	c := &conn{Conn: s, head: h, r: bufio.NewReaderSize(h, readBufferBytes)}
 	c.onClose = sync.OnceFunc(func() { p.releaseConn(address) })
 	return c, nil
@@ -355,12 +362,12 @@
 // a response to another request if its end is known from a length or chunks; otherwise that
 // response is an error.
 func readResponse(c *conn, q *Request) (*http.Response, error) {
-	c.head.left = maxResponseBytes
-	defer c.head.lift()
+	c.head.Limit(maxResponseBytes)
+	defer c.head.Lift()
 	for range maxResponses {
 		// Peek can't fail: it asks for no more than there is.
 		buffered, _ := c.r.Peek(c.r.Buffered())
-		if err := c.head.begin(buffered); err != nil {
+		if err := c.head.Begin(buffered); err != nil {
 			return nil, err
 		}
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: q.Method})
@@ -370,6 +377,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if c.head.InHead() {
+			return nil, errHeadUnfinished
+		}
 		if q.Matches == nil || q.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
--- /dev/null
+++ b/local/world/heads_test.go
@@ -0,0 +1,41 @@
+package world_test
+
+import (
+	"net/http"
+	"testing"
+
+	"cranberrypoint.example/coord/fake"
+	"cranberrypoint.example/coord/frame"
+	"cranberrypoint.example/local/world"
+	"github.com/google/go-cmp/cmp"
+)
+
+// checkNoAnswer lets all plain services answer in a way that is no answer. Callers must get an error of the entry, which promises
+// nothing, and after it whole answers again.
+func checkNoAnswer(t *testing.T, w *world.World, name string, e fake.Ending) {
+	t.Helper()
+	setEnding(w, &e)
+	c := dialEntry(t, w)
+	sendEvents(t, c, "HTTP/1.1")
+	if a := readRaw(c); a.status != http.StatusBadGateway || !a.complete {
+		t.Errorf("%s: status %d, %q, complete %t; want %d", name, a.status, a.body, a.complete, http.StatusBadGateway)
+	}
+	setEnding(w, &fake.Ending{Framing: frame.Length})
+	c = dialEntry(t, w)
+	sendEvents(t, c, "HTTP/1.1")
+	if d := cmp.Diff(raw{http.StatusOK, events, true}, readRaw(c), cmp.AllowUnexported(raw{})); d != "" {
+		t.Errorf("a whole answer after %s (-want +got):\n%s", name, d)
+	}
+}
+
+// TestStatusesOfNoAnswer guards against an answer of a plain service in trouble whose status doesn't exist. The entry couldn't write it, or
+// passed it on.
+func TestStatusesOfNoAnswer(t *testing.T) {
+	w := start(t)
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 101 OK", "HTTP/2.0 200 OK", "HTTP/1.1", "000"} {
+		for _, f := range []frame.Framing{frame.Length, frame.Connection} {
+			checkNoAnswer(t, w, line+", "+string(f), fake.Ending{StatusLine: line, Framing: f})
+		}
+		checkNoAnswer(t, w, line+", then a whole answer", fake.Ending{StatusLine: line + "\r\nX-Other: a\r\n\r\nHTTP/1.1 200 OK", Framing: frame.Length})
+	}
+}
