heads: an error of a head stays

What callers saw: nothing yet; found while the next check was tested. A head whose faulty line came in parts passed: an answer with status 000 in two reads was one, in some tries. Cause: the reader returned its error once, in place of the bytes. The standard library's line reader takes an error behind a part of a line for the end of that line, without a word, and reads on; the next read went past the fault. The bound on lines of a head had the same gap since it was written. Change: the first error of a head is that of all reads after it. Test: TestErrorStays cuts the head at each pair of bytes; on the code before it fails at the first cut inside a status.

--- a/coord/heads/heads.go
+++ b/coord/heads/heads.go
@@ -37,6 +37,9 @@
 	line []byte
 	// status is that of the head.
 	status int
+	// err is the first error of a head. It is that of all reads from then on: a parser may take an error in the middle of a line for
+	// the end of the line, and read on.
+	err error
 }
 
 // NewReader returns a reader that passes on all bytes of r until Begin is called.
@@ -52,7 +55,8 @@
 // that follows is checked.
 func (h *Reader) Begin(buffered []byte) error {
 	h.begin()
-	return h.scan(buffered)
+	h.err = h.scan(buffered)
+	return h.err
 }
 
 func (h *Reader) begin() {
@@ -64,14 +68,17 @@
 
 // Read reads from the connection. The error is that of the head, in place of the bytes that show it.
 func (h *Reader) Read(p []byte) (int, error) {
-	if h.left <= 0 {
-		return 0, ErrTooLarge
+	if h.left <= 0 && h.err == nil {
+		h.err = ErrTooLarge
+	}
+	if h.err != nil {
+		return 0, h.err
 	}
 	p = p[:min(int64(len(p)), h.left)]
 	n, err := h.r.Read(p)
 	h.left -= int64(n)
-	if e := h.scan(p[:n]); e != nil {
-		return 0, e
+	if h.err = h.scan(p[:n]); h.err != nil {
+		return 0, h.err
 	}
 	return n, err
 }
--- a/coord/heads/heads_test.go
+++ b/coord/heads/heads_test.go
@@ -1,8 +1,10 @@
 package heads
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -38,3 +40,24 @@
 		}
 	}
 }
+
+// TestErrorStays checks that a head which is none stays one, wherever the reads of it are cut. The parser of the standard library takes an error in
+// the middle of a line for the end of the line, and reads on.
+func TestErrorStays(t *testing.T) {
+	const rest = "Content-Length: 2\r\n\r\nab"
+	for _, head := range []string{"HTTP/1.1 000 OK\r\nId: 1\r\n", "HTTP/1.1 101 OK\r\nId: 1\r\n"} {
+		text := head + rest
+		for i := range len(text) {
+			for j := i; j < len(text); j++ {
+				h := NewReader(io.MultiReader(strings.NewReader(text[:i]), strings.NewReader(text[i:j]), strings.NewReader(text[j:])))
+				if err := h.Begin(nil); err != nil {
+					t.Fatal(err)
+				}
+				if r, err := http.ReadResponse(bufio.NewReader(h), nil); err == nil {
+					_ = r.Body.Close()
+					t.Fatalf("%q, cut at %d and %d, is an answer with status %d and %v", text, i, j, r.StatusCode, r.Header)
+				}
+			}
+		}
+	}
+}
