heads: an answer with a line that is no field is none

What callers saw (reported from other systems, and here): an upstream in trouble sent a field with a blank in its name, before the colon or at the start of the line. Callers got a complete 200; a Content-Length with a blank was none, so the body was all that came, and a line with a blank at its start went on as part of the value before. Cause: the standard library's parser keeps such names under keys that no look-up finds, and joins lines that begin with a blank. Ruled out: the entry's copy of the fields. Change: coord/heads checks each line: a name of the bytes that may stand in one, a colon, a value without control bytes. Anything else is no answer.

--- a/coord/heads/heads.go
+++ b/coord/heads/heads.go
@@ -115,6 +115,8 @@
 		h.status, err = checkStatusLine(line)
 	case len(line) == 0:
 		h.endHead()
+	default:
+		err = checkField(line)
 	}
 	return err
 }
--- a/coord/heads/heads_test.go
+++ b/coord/heads/heads_test.go
@@ -45,7 +45,7 @@
 // the middle of a line for the end of the line, and reads on.
 func TestErrorStays(t *testing.T) {
 	const rest = "Content-Length: 2\r\n\r\nab"
-	for _, head := range []string{"HTTP/1.1 000 OK\r\nId: 1\r\n", "HTTP/1.1 101 OK\r\nId: 1\r\n"} {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\nId: 1\r\n", "HTTP/1.1 101 OK\r\nId: 1\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nX Other: a\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nX\x00Other: a\r\n"} {
 		text := head + rest
 		for i := range len(text) {
 			for j := i; j < len(text); j++ {
--- a/coord/upconn/strict_test.go
+++ b/coord/upconn/strict_test.go
@@ -110,3 +110,21 @@
 		t.Errorf("chunks with an extension and a trailer (-want +got):\n%s", d)
 	}
 }
+
+// TestFieldLinesOfNoAnswer guards against answers of upstreams in trouble with a field whose name holds a blank or a control byte,
+// or that is no field. The parser drops some of them, as a length, so that the body was another one, and passes others on.
+func TestFieldLinesOfNoAnswer(t *testing.T) {
+	heads := map[string]string{}
+	for _, line := range []string{
+		"Content-Length : 5", "Content-Length\t: 5", "Content- Length: 5", "Content Length: 5", " Content-Length: 5", "\tContent-Length: 5", "Content-Length\x00: 5", "\x00Content-Length: 5",
+		"Content\x7f-Length: 5", "Content\x01-Length: 5", "Content\r-Length: 5", "\rContent-Length: 5", "Content-Length: \x005", "X-Other: a\x00b", "X-Other: a\rb", "X-Other: a\x7f", "X-Other: a\x1b[0m",
+		": 5", " : 5", "Content-Length", "Content(Length): 5", "Content\xe4Length: 5", "\"Content-Length\": 5", "Content/Length: 5", "{\"error\":1}", "<html>", "X-Other: a\r\r",
+	} {
+		heads["first: "+line] = "HTTP/1.1 200 OK\r\n" + line + "\r\nId: 1"
+		heads["last: "+line] = "HTTP/1.1 200 OK\r\nId: 1\r\n" + line
+		heads["after another field: "+line] = "HTTP/1.1 200 OK\r\nId: 1\r\nX-Other: a\r\n" + line
+		heads["beside a length: "+line] = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n" + line
+		heads["in an interim answer: "+line] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5"
+	}
+	checkRefused(t, heads)
+}
--- a/local/world/heads_test.go
+++ b/local/world/heads_test.go
@@ -1,6 +1,7 @@
 package world_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -39,3 +40,17 @@
 		checkNoAnswer(t, w, line+", then a whole answer", fake.Ending{StatusLine: line + "\r\nX-Other: a\r\n\r\nHTTP/1.1 200 OK", Framing: frame.Length})
 	}
 }
+
+// TestFieldsOfNoAnswer guards against an answer of a plain service in trouble with a field whose name holds a blank or a control byte, or that
+// is none.
+func TestFieldsOfNoAnswer(t *testing.T) {
+	w := start(t)
+	for _, line := range []string{
+		"X Other: a", "X-Other : a", "X-Other\t: a", "X\x00Other: a", "X-Other\x7f: a", "\x01X-Other: a", " X-Other: a", "\tX-Other: a", "X-Other: a\x00b", "X-Other: a\rb", ": a", "X-Other",
+		"Content-Length : 2", "Content-Length\x00: 2", " Content-Length: 2", "Transfer-Encoding : chunked", " Transfer-Encoding: chunked",
+	} {
+		for _, f := range []frame.Framing{frame.Length, frame.Connection} {
+			checkNoAnswer(t, w, fmt.Sprintf("%q, %s", line, f), fake.Ending{Lines: line + "\r\n", Framing: f})
+		}
+	}
+}
