heads: an answer whose head leaves open where its body ends is none

What callers saw: nothing reported; found by the search for the class. Of an upstream that answered in HTTP/1.0 and in chunks, callers of both doors got a complete 200 with the sizes of the chunks in its body; of one with a length beside chunks, what the chunks held. Cause: the standard library's parser ignores a transfer coding in HTTP/1.0 and drops a length beside one. Change: coord/heads notes both; a coding in HTTP/1.0 or beside a length makes the answer none. Two lengths, other codings and lengths that are no number were refused before; their cases stay.

--- a/coord/heads/heads.go
+++ b/coord/heads/heads.go
@@ -9,7 +9,6 @@
 	"bytes"
 	"io"
 	"math"
-	"net/http"
 
 	"github.com/rotisserie/eris"
 )
@@ -35,8 +34,9 @@
 	bytes, lines int
 	// line is the part of the current line that has come.
 	line []byte
-	// status is that of the head.
-	status int
+	// first is the first line of the head, and framing what its fields say of the body's end.
+	first   statusLine
+	framing framing
 	// err is the first error of a head. It is that of all reads from then on: a parser may take an error in the middle of a line for
 	// the end of the line, and read on.
 	err error
@@ -60,7 +60,7 @@
 }
 
 func (h *Reader) begin() {
-	h.inHead, h.bytes, h.lines, h.line, h.status = true, 0, 0, h.line[:0], 0
+	h.inHead, h.bytes, h.lines, h.line, h.framing = true, 0, 0, h.line[:0], framing{}
 }
 
 // InHead reports whether the head of a final response is still to end.
@@ -112,20 +112,31 @@
 	case h.lines > MaxLines:
 		return ErrTooLarge
 	case h.lines == 1:
-		h.status, err = checkStatusLine(line)
+		h.first, err = parseStatusLine(line)
 	case len(line) == 0:
-		h.endHead()
+		err = h.endHead()
 	default:
-		err = checkField(line)
+		err = h.addField(line)
 	}
 	return err
 }
 
+// addField checks the line of a field.
+func (h *Reader) addField(line []byte) error {
+	name, err := checkField(line)
+	h.framing = h.framing.WithField(name)
+	return err
+}
+
 // endHead ends a head. Another one follows that of an interim response.
-func (h *Reader) endHead() {
-	if h.status < http.StatusOK {
+func (h *Reader) endHead() error {
+	if err := h.framing.check(h.first.minor); err != nil {
+		return err
+	}
+	if h.first.isInterim() {
 		h.begin()
-		return
+		return nil
 	}
 	h.inHead, h.line = false, nil
+	return nil
 }
--- a/coord/heads/status.go
+++ b/coord/heads/status.go
@@ -22,32 +22,43 @@
 	errReason   = eris.New("the status line of the answer has a control byte")
 )
 
-// checkStatusLine checks the first line of a head, as "HTTP/1.1 200 OK", without its end, and returns its status.
-func checkStatusLine(l []byte) (status int, err error) {
+// statusLine is the first line of a head.
+type statusLine struct {
+	// minor is the minor version of HTTP/1.
+	minor  int
+	status int
+}
+
+// isInterim reports whether the head of another response follows.
+func (s statusLine) isInterim() bool { return s.status < http.StatusOK }
+
+// parseStatusLine parses the first line of a head, as "HTTP/1.1 200 OK", without its end.
+func parseStatusLine(l []byte) (s statusLine, err error) {
 	version, rest, ok := bytes.Cut(l, []byte(" "))
 	minor, isHTTP := bytes.CutPrefix(version, []byte("HTTP/1."))
 	if !ok || !isHTTP || len(minor) != 1 || !isDigit(minor[0]) {
-		return 0, errNoHTTP
+		return s, errNoHTTP
 	}
+	s.minor = int(minor[0] - '0')
 	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if len(code) != statusDigits {
-		return 0, errStatus
+		return s, errStatus
 	}
 	for _, c := range code {
 		if !isDigit(c) {
-			return 0, errStatus
+			return s, errStatus
 		}
-		status = 10*status + int(c-'0')
+		s.status = 10*s.status + int(c-'0')
 	}
 	switch {
-	case status < minStatus, status > maxStatus:
-		return 0, errStatus
-	case status == http.StatusSwitchingProtocols:
-		return 0, errSwitched
+	case s.status < minStatus, s.status > maxStatus:
+		return s, errStatus
+	case s.status == http.StatusSwitchingProtocols:
+		return s, errSwitched
 	case !isText(reason):
-		return 0, errReason
+		return s, errReason
 	}
-	return status, nil
+	return s, nil
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- a/coord/upconn/strict_test.go
+++ b/coord/upconn/strict_test.go
@@ -128,3 +128,23 @@
 	}
 	checkRefused(t, heads)
 }
+
+// TestFramingsOfNoAnswer guards against heads that leave open where the body ends.
+func TestFramingsOfNoAnswer(t *testing.T) {
+	const head = "\r\nId: 1\r\n"
+	checkRefused(t, map[string]string{
+		"two lengths":            "HTTP/1.1 200 OK" + head + "Content-Length: 5\r\nContent-Length: 4",
+		"two lengths in a line":  "HTTP/1.1 200 OK" + head + "Content-Length: 5, 4",
+		"a length beside chunks": "HTTP/1.1 200 OK" + head + "Content-Length: 5\r\nTransfer-Encoding: chunked",
+		"chunks beside a length": "HTTP/1.1 200 OK" + head + "Transfer-Encoding: chunked\r\nContent-Length: 5",
+		"chunks in HTTP/1.0":     "HTTP/1.0 200 OK" + head + "Transfer-Encoding: chunked",
+		"another coding":         "HTTP/1.1 200 OK" + head + "Transfer-Encoding: gzip",
+		"two codings":            "HTTP/1.1 200 OK" + head + "Transfer-Encoding: gzip, chunked",
+		"two lines of codings":   "HTTP/1.1 200 OK" + head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+		"a signed length":        "HTTP/1.1 200 OK" + head + "Content-Length: +5",
+		"a negative length":      "HTTP/1.1 200 OK" + head + "Content-Length: -5",
+		"an empty length":        "HTTP/1.1 200 OK" + head + "Content-Length:",
+		"a length in words":      "HTTP/1.1 200 OK" + head + "Content-Length: five",
+		"a length too large":     "HTTP/1.1 200 OK" + head + "Content-Length: 99999999999999999999",
+	})
+}
--- a/local/world/heads_test.go
+++ b/local/world/heads_test.go
@@ -54,3 +54,11 @@
 		}
 	}
 }
+
+// TestFramingsOfNoAnswer guards against an answer of a plain service in trouble whose head leaves open where its body ends.
+func TestFramingsOfNoAnswer(t *testing.T) {
+	w := start(t)
+	checkNoAnswer(t, w, "a length beside chunks", fake.Ending{Lines: "Content-Length: 2\r\n", Framing: frame.Chunked})
+	checkNoAnswer(t, w, "two lengths", fake.Ending{Lines: "Content-Length: 2\r\n", Framing: frame.Length})
+	checkNoAnswer(t, w, "chunks in HTTP/1.0", fake.Ending{StatusLine: "HTTP/1.0 200 OK", Framing: frame.Chunked})
+}
