agent: the words of an engine's error don't reach callers

What callers saw (reported by other operators; here at the OpenAI door): a stream broke off, the next engine answered with an error, and the text of that error, with the head that it held, stood in the middle of the stream. Cause: the agent made its fault's text of the engine's body, and the entry ends a stream that it gives up with an event that holds the fault's text. Change: the fault names the status; the engine's words go to the agent's log as engine-error.

--- a/agent/host/call.go
+++ b/agent/host/call.go
@@ -15,6 +15,7 @@
 	"cranberrypoint.example/coord/upconn"
 	"cranberrypoint.example/coord/wire"
 	"cranberrypoint.example/coord/worker"
+	"github.com/sirupsen/logrus"
 )
 
 // call controls a call to the upstream that is in progress: it can be paused and aborted.
@@ -111,7 +112,7 @@
 		Priority:   priority(x.Open),
 	}, x.Open.Prompt)
 	if err != nil {
-		return nil, h.engineError(ctx, err)
+		return nil, h.engineError(ctx, x.Run.Request, err)
 	}
 	return &wire.Done{Handle: p.Handle, Source: h.engine.Base(), PromptTokens: p.PromptTokens, CachedTokens: p.CachedTokens}, nil
 }
@@ -134,7 +135,7 @@
 	name := x.Run.String()
 	err := h.engine.Import(ctx, engine.Import{Request: name, Source: x.Feed.GetSource(), Handle: x.Feed.GetHandle()})
 	if err != nil {
-		return nil, h.engineError(ctx, err)
+		return nil, h.engineError(ctx, x.Run.Request, err)
 	}
 	n := int64(0)
 	err = h.engine.Decode(ctx, engine.Decode{
@@ -149,22 +150,24 @@
 		return c.waitWhilePaused(ctx)
 	})
 	if err != nil {
-		return nil, h.engineError(ctx, err)
+		return nil, h.engineError(ctx, x.Run.Request, err)
 	}
 	return &wire.Done{OutputTokens: n}, nil
 }
 
 // engineError converts the error of a call to the engine. A failure to connect or an error
 // status means that the request didn't run. After any other failure it is unknown whether the
-// request ran; WithRan then replaces the RAN_NO that NotRun sets.
-func (h *Host) engineError(ctx context.Context, err error) *fault.Error {
+// request ran; WithRan then replaces the RAN_NO that NotRun sets. What the engine said goes to the
+// log only: the error may end a stream, in which the caller would take it for a part of the answer.
+func (h *Host) engineError(ctx context.Context, request string, err error) *fault.Error {
 	var o *net.OpError
 	if errors.As(err, &o) && o.Op == "dial" {
 		return fault.NotRun(fault.Unreachable, "the engine refused the connection")
 	}
 	var s *engine.StatusError
 	if errors.As(err, &s) {
-		return fault.NotRun(fault.UpstreamError, "%s", s.Text)
+		h.log.WithFields(logrus.Fields{"event": "engine-error", "request": request, "status": s.Status, "text": s.Text}).Warn("the engine answered a call with an error")
+		return fault.NotRun(fault.UpstreamError, "the engine answered with status %d", s.Status)
 	}
 	return h.checkEnded(ctx, fault.NotRun(fault.UpstreamError, "the engine gave no whole answer").WithRan(wire.Ran_RAN_UNKNOWN))
 }
--- a/local/stand/engine.go
+++ b/local/stand/engine.go
@@ -70,6 +70,8 @@
 	counts   EngineCounts
 	load     EngineLoad
 	loadAt   time.Time
+	// script answers calls in place of the engine; nil for none.
+	script Script
 }
 
 // EngineCounts are totals over an engine's life.
@@ -130,7 +132,7 @@
 	m.HandleFunc("/v1/load", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.lagging()) })
 	m.HandleFunc("/control/models", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Models()) })
 	m.HandleFunc("/control/counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Counts()) })
-	return m
+	return e.scripted(m)
 }
 
 func reply(w http.ResponseWriter, v any) {
