--- a/local/world/heads_test.go
+++ b/local/world/heads_test.go
@@ -62,3 +62,25 @@
 	checkNoAnswer(t, w, "two lengths", fake.Ending{Lines: "Content-Length: 2\r\n", Framing: frame.Length})
 	checkNoAnswer(t, w, "chunks in HTTP/1.0", fake.Ending{StatusLine: "HTTP/1.0 200 OK", Framing: frame.Chunked})
 }
+
+// TestCutHeadIsNoAnswer lets all plain services close the connection after each byte of the head and of a framed body. No caller may get a whole answer
+// with status 200 before the answer is whole.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	w := start(t)
+	for _, f := range []frame.Framing{frame.Length, frame.Chunked} {
+		for n := 1; ; n++ {
+			setEnding(w, &fake.Ending{Framing: f, FirstBytes: n})
+			c := dialEntry(t, w)
+			sendEvents(t, c, "HTTP/1.1")
+			a := readRaw(c)
+			_ = c.Close()
+			if !a.complete || a.status == http.StatusBadGateway {
+				continue
+			}
+			if d := cmp.Diff(raw{http.StatusOK, events, true}, a, cmp.AllowUnexported(raw{})); d != "" || n < len(events) {
+				t.Errorf("%s, %d bytes (-want +got):\n%s", f, n, d)
+			}
+			break
+		}
+	}
+}
