--- a/coord/upconn/strict_test.go
+++ b/coord/upconn/strict_test.go
@@ -148,3 +148,28 @@
 		"a length too large":     "HTTP/1.1 200 OK" + head + "Content-Length: 99999999999999999999",
 	})
 }
+
+// TestCutAnswerIsNoAnswer closes the connection after each byte of an answer, in each framing: no part may be a complete answer,
+// besides what a body that ends with its connection leaves open.
+func TestCutAnswerIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nX-Other: a b\r\n"
+	for name, c := range map[string]struct{ text, unframed string }{
+		"length":              {head + "Content-Length: 5\r\n\r\nbody!", ""},
+		"chunks":              {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nbody!\r\n0\r\n\r\n", ""},
+		"chunks and trailer":  {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nbody!\r\n0\r\nX-Trailer: a\r\n\r\n", ""},
+		"no framing":          {head + "\r\n", "body!"},
+		"events":              {head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n", ""},
+		"interim answer":      {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 5\r\n\r\nbody!", ""},
+		"line feeds only":     {strings.ReplaceAll(head+"Content-Length: 5\r\n\r\n", "\r\n", "\n") + "body!", ""},
+		"another one's first": {"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nold" + head + "Content-Length: 5\r\n\r\nbody!", ""},
+	} {
+		for n := range len(c.text) {
+			if g := callRaw(t, c.text[:n]); g != (got{}) && g.Body != "broken off" {
+				t.Errorf("%s: %d of %d bytes give status %d and %q", name, n, len(c.text), g.Status, g.Body)
+			}
+		}
+		if g := callRaw(t, c.text+c.unframed); g.Status != http.StatusOK || g.Body == "broken off" {
+			t.Errorf("%s: the whole answer gives status %d and %q", name, g.Status, g.Body)
+		}
+	}
+}
