--- a/coord/fake/repeat.go
+++ b/coord/fake/repeat.go
@@ -10,25 +10,11 @@
 // Repeater starts a server that answers each request by f and, on a connection that is in use again, first sends the
 // answer to the request before once more. That is the latest moment at which a second copy can arrive.
 func Repeater(f func(q *http.Request) string) (address string, stop func(), err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", nil, err
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go repeat(c, f)
-		}
-	}()
-	return l.Addr().String(), func() { _ = l.Close() }, nil
+	return Raw(func(c *net.TCPConn) { repeat(c, f) })
 }
 
 // repeat answers the requests on one connection, as described at Repeater.
 func repeat(c net.Conn, f func(q *http.Request) string) {
-	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	for last := ""; ; {
 		q, err := http.ReadRequest(r)
