--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -24,7 +24,8 @@
 
 // cases holds the function that plays each case.
 var cases = map[string]func(w *world) (verdict, error){
-	"extra": playExtra,
+	"extra":    playExtra,
+	"versions": playVersions,
 }
 
 func main() {
