review: case 13, no stream of a runner that went dark goes on once it is back

Streams of a runner that loses its power and comes back as another version are marked as of unknown version and refused, although other runners of their version serve.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(w *world) (verdict, error){
 	"extra":    playExtra,
 	"versions": playVersions,
+	"dark":     playDark,
 }
 
 func main() {
