review: case 14, a restarted entry runs requests with a revoked key after the store was restored

An entry that restarts while the store shows a copy without the newest configuration takes that one, though the other entries know better.

--- a/review/stand-3/config.go
+++ b/review/stand-3/config.go
@@ -10,9 +10,12 @@
 )
 
 // publishConfig writes the operator's configuration.
-func (w *world) publishConfig() {
+func (w *world) publishConfig() { w.publishKeys(7, key) }
+
+// publishKeys writes a version of the operator's configuration in which the tenant has some keys.
+func (w *world) publishKeys(version int, keys ...string) {
 	w.store.put("op/config", map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []map[string]any{
 			route("orders", unsafePrefix, "unsafe", 1),
 			route("digests", streamPrefix, "streaming", 2),
@@ -22,7 +25,7 @@
 		},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants": []map[string]any{
-			{"name": "tenant", "api-keys": []string{key}, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 0, "burst": 0},
+			{"name": "tenant", "api-keys": keys, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 0, "burst": 0},
 		},
 	})
 }
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -27,6 +27,7 @@
 	"extra":    playExtra,
 	"versions": playVersions,
 	"dark":     playDark,
+	"revoked":  playRevoked,
 }
 
 func main() {
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -68,7 +68,7 @@
 // startEntries starts the entries and waits until all are ready.
 func (w *world) startEntries() error {
 	for i := range entryCount {
-		p, err := w.startEntry(i + 1)
+		p, err := w.startEntry(i+1, true)
 		if err != nil {
 			return err
 		}
@@ -97,8 +97,9 @@
 	return true
 }
 
-// startEntry starts the n-th entry with the settings of a small deployment.
-func (w *world) startEntry(n int) (*process, error) {
+// startEntry starts the n-th entry with the settings of a small deployment. isFirst is true only while the whole system starts for
+// the first time.
+func (w *world) startEntry(n int, isFirst bool) (*process, error) {
 	var seeds []string
 	for i := range entryCount {
 		seeds = append(seeds, fmt.Sprintf("%q", w.ip(i+1)+":8367"))
@@ -116,7 +117,7 @@
 listen: {front: "%s:8360", ready-addr: "%s:8365", control: "%s:8367"}
 port-range: [7500, 7515]
 seeds: [%s]
-bootstrap: true
+bootstrap: %t
 limits: {cpu-share: 0.304, cores: 1, memory-mb: 284, max-fds: 4100, link-mbps: 1000.0, disk-mb: 0}
 heartbeat-ms: %d
 bounds:
@@ -138,7 +139,7 @@
   recover-s: 12
   lease-ms: 3000
 provider: {address: %q, form: "read", reads-per-s: 2000, history-s: 20, value-bytes: 1048576}
-`, n, ip, ip, ip, ip, strings.Join(seeds, ", "), heartbeat.Milliseconds(), w.store.address)
+`, n, ip, ip, ip, ip, strings.Join(seeds, ", "), isFirst, heartbeat.Milliseconds(), w.store.address)
 	path := filepath.Join(w.dir, fmt.Sprintf("front-%d.yaml", n))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
