--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -24,8 +24,6 @@
 type channel struct {
 	net.Conn
 	r *bufio.Reader
-	// key is the API key of the client.
-	key string
 }
 
 // dial opens a channel to an entry.
@@ -34,14 +32,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &channel{c, bufio.NewReader(c), key}, nil
+	return &channel{c, bufio.NewReader(c)}, nil
 }
 
 // send sends a request and reads the head of its answer.
 func (c *channel) send(method, path, id, body string, more http.Header, limit time.Duration) (*http.Response, error) {
 	_ = c.SetDeadline(time.Now().Add(limit))
 	h := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n",
-		method, path, host, headerID, id, headerDeadline, limit.Milliseconds(), c.key, len(body))
+		method, path, host, headerID, id, headerDeadline, limit.Milliseconds(), key, len(body))
 	for k, l := range more {
 		h += k + ": " + l[0] + "\r\n"
 	}
--- a/review/stand-3/config.go
+++ b/review/stand-3/config.go
@@ -10,12 +10,9 @@
 )
 
 // publishConfig writes the operator's configuration.
-func (w *world) publishConfig() { w.publishKeys(7, key) }
-
-// publishKeys writes a version of the operator's configuration in which the tenant has some keys.
-func (w *world) publishKeys(version int, keys ...string) {
-	w.store.put("op/config", map[string]any{
-		"version": version,
+func (w *world) publishConfig() {
+	w.store.put(name("configuration"), map[string]any{
+		"version": 7,
 		"routes": []map[string]any{
 			route("orders", unsafePrefix, "unsafe", 1),
 			route("digests", streamPrefix, "streaming", 2),
@@ -24,15 +21,15 @@
 			{"name": service, "health-path": "/healthz", "max-connections": 96},
 		},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []map[string]any{
-			{"name": "tenant", "api-keys": keys, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 0, "burst": 0},
+		name("customers"): []map[string]any{
+			{"name": "customer", name("keys"): []string{key}, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 0, "burst": 0},
 		},
 	})
 }
 
-func route(name, prefix, kind string, attempts int) map[string]any {
+func route(title, prefix, kind string, attempts int) map[string]any {
 	return map[string]any{
-		"name": name, "host": host, "prefix": prefix, "route-type": kind, "service": service, "public": false,
+		"name": title, "host": host, "prefix": prefix, name("kind of route"): kind, "service": service, "public": false,
 		"timeout-ms": 14000, "target-latency-ms": 900, "target-gap-ms": 300, "priority": 1, "max-attempts": attempts,
 		"resumable": kind == "streaming",
 	}
--- a/review/stand-3/dark.go
+++ b/review/stand-3/dark.go
@@ -22,10 +22,11 @@
 
 // playDark plays the case in which a runner loses its power and comes back under its id with another version.
 func playDark(w *world) (verdict, error) {
-	x, last, err := newVersions(w, darkEvents, darkPause)
+	x, runners, err := newVersions(w, darkEvents, darkPause)
 	if err != nil {
 		return verdict{}, err
 	}
+	last := runners[len(runners)-1]
 	stop := x.beginStreams()
 	time.Sleep(darkCalm)
 	if w.trouble {
--- a/review/stand-3/extra.go
+++ b/review/stand-3/extra.go
@@ -24,7 +24,7 @@
 
 // extraAnswer is what the runner adds after a complete answer: a second answer that belongs to no request. It arrives late, where
 // the next answer is due.
-const extraAnswer = "HTTP/1.1 503 Service Unavailable\r\nX-Cranberrypoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+var extraAnswer = "HTTP/1.1 503 Service Unavailable\r\n" + headerNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
 
 // extras counts which runners ran each request, and which answers clients got.
 type extras struct {
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -27,23 +27,23 @@
 	"extra":    playExtra,
 	"versions": playVersions,
 	"dark":     playDark,
-	"revoked":  playRevoked,
+	"stale":    playStale,
 }
 
 func main() {
-	name := flag.String("case", "", "name of the case")
+	title := flag.String("case", "", "name of the case")
 	trouble := flag.Bool("trouble", true, "false to leave the disruption out")
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	program := flag.String("program", "target/platform", "the program of the deploy file")
 	flag.Parse()
-	os.Exit(play(*name, *path, *program, *trouble))
+	os.Exit(play(*title, *path, *program, *trouble))
 }
 
 // play plays a case and returns its exit code.
-func play(name, path, program string, trouble bool) int {
-	f, ok := cases[name]
+func play(title, path, program string, trouble bool) int {
+	f, ok := cases[title]
 	if !ok {
-		fmt.Fprintln(os.Stderr, "there is no case", name)
+		fmt.Fprintln(os.Stderr, "there is no case", title)
 		return exitNotRun
 	}
 	w, err := newWorld(program, trouble)
--- a/review/stand-3/runner.go
+++ b/review/stand-3/runner.go
@@ -12,11 +12,18 @@
 
 // Headers of the protocol.
 const (
-	headerID       = "X-Cranberrypoint-Request-Id"
-	headerDeadline = "X-Cranberrypoint-Deadline-Ms"
-	headerExpect   = "X-Cranberrypoint-Expect-Instance"
-	headerResumes  = "Resumes"
-	headerLastID   = "Last-Event-Id"
+	headerResumes = "Resumes"
+	headerLastID  = "Last-Event-Id"
+)
+
+// Headers of the protocol that have a prefix.
+var (
+	headerID       = name("header prefix") + "Request-Id"
+	headerDeadline = name("header prefix") + "Deadline-Ms"
+	headerExpect   = name("header prefix") + "Expect-Instance"
+	headerNotRun   = name("header prefix") + "Not-Executed"
+	headerReceipt  = name("header prefix") + "Response-Signature"
+	headerInstance = name("header prefix") + "Instance-Id"
 )
 
 // slots is the number of requests that a runner works on at once.
@@ -79,7 +86,7 @@
 func (r *runner) register() {
 	for n := 1; ; n++ {
 		r.world.store.put("servers/"+r.id, map[string]any{
-			"service": service, "address": r.address, "zone": "zone-a", "version": r.version, "slots": slots, "state": "ready",
+			"service": service, "address": r.address, name("place"): "a", "version": r.version, "slots": slots, "state": "ready",
 			"cold-remaining-ms": 0, "sequence": n, "born": r.born,
 		})
 		select {
@@ -144,7 +151,7 @@
 			return
 		}
 		if e := q.Header.Get(headerExpect); e != r.id {
-			_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nX-Cranberrypoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", headerID, q.Header.Get(headerID))
+			_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerID, q.Header.Get(headerID), headerNotRun)
 			if err != nil {
 				return
 			}
@@ -158,5 +165,5 @@
 
 // head returns the head of a successful answer to a request, without its framing and its end.
 func (r *runner) head(id string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nX-Cranberrypoint-Response-Signature: %s.%s\r\nX-Cranberrypoint-Instance-Id: %s\r\n", headerID, id, r.id, id, r.id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\n%s: %s\r\n", headerID, id, headerReceipt, r.id, id, headerInstance, r.id)
 }
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -2,11 +2,9 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 )
@@ -29,8 +27,6 @@
 	revision uint64
 	// isDown is true while all calls get 503.
 	isDown bool
-	// era rises each time that the store comes back from a copy.
-	era uint64
 }
 
 // newStore starts a store on a free port.
@@ -72,31 +68,18 @@
 	s.isDown = d
 }
 
-// backup returns a function that brings the store back from a copy of what it holds now.
-func (s *store) backup() (restore func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	items, revision := maps.Clone(s.items), s.revision
-	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.items, s.revision = items, revision
-		s.era++
-	}
-}
-
 // ServeHTTP answers reads of one key and of a range of keys.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	w.Header().Set("Store-Era", "0")
 	q := r.URL.Query()
 	switch {
 	case s.isDown:
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case r.URL.Path == "/kv-key":
+	case r.URL.Path == name("item path"):
 		s.serveKey(w, q.Get("key"))
-	case r.URL.Path == "/kv-range":
+	case r.URL.Path == name("list path"):
 		s.serveRange(w, q.Get("prefix"), q.Get("after"))
 	default:
 		w.WriteHeader(http.StatusNotFound)
--- a/review/stand-3/versions.go
+++ b/review/stand-3/versions.go
@@ -25,7 +25,7 @@
 	maxTries = 2
 	// restartTime is how long a runner that has crashed is down.
 	restartTime = 300 * time.Millisecond
-	// crashedAgain is when the runner crashes again after its restart.
+	// crashedAgain is when a runner crashes after the first one's restart.
 	crashedAgain = 2500 * time.Millisecond
 	// storeDown is how long the store is down.
 	storeDown = 4 * time.Second
@@ -59,25 +59,47 @@
 	isResumed, hasEvent bool
 }
 
-// newVersions starts three runners of version v1, the last of which it returns, and the entries.
-func newVersions(w *world, events int, pause time.Duration) (x *versions, last *runner, err error) {
+// newVersions starts three runners of version v1, and the entries.
+func newVersions(w *world, events int, pause time.Duration) (x *versions, runners []*runner, err error) {
 	x = &versions{world: w, events: events, pause: pause, versionOf: map[string]string{}, streams: map[string][]string{}}
 	for i := range 3 {
-		if last, err = w.startRunner(fmt.Sprintf("i-%d", i+1), "v1", w.ip(101+i)+":0", x.serve); err != nil {
+		r, err := w.startRunner(fmt.Sprintf("i-%d", i+1), "v1", w.ip(101+i)+":0", x.serve)
+		if err != nil {
 			return nil, nil, err
 		}
+		runners = append(runners, r)
 	}
 	w.publishConfig()
-	return x, last, w.startEntries()
+	return x, runners, w.startEntries()
 }
 
 // playVersions plays the case in which a runner comes back under its id with another version while the store is down, and crashes
 // again.
 func playVersions(w *world) (verdict, error) {
-	x, last, err := newVersions(w, 40, 40*time.Millisecond)
+	return playStoreDown(w, func(x *versions, others []*runner, restarted *runner) error {
+		_, err := x.crash(restarted, restarted.version)
+		return err
+	})
+}
+
+// playStale plays the case in which a runner comes back under its id with another version while the store is down, and another one
+// crashes.
+func playStale(w *world) (verdict, error) {
+	return playStoreDown(w, func(x *versions, others []*runner, restarted *runner) error {
+		_, err := x.crash(others[0], others[0].version)
+		return err
+	})
+}
+
+// playStoreDown lets a runner come back with another version while the store is down, lets streams begin, and then lets a runner
+// crash by breakOff.
+func playStoreDown(w *world, breakOff func(x *versions, others []*runner, restarted *runner) error) (verdict, error) {
+	x, runners, err := newVersions(w, 40, 40*time.Millisecond)
 	if err != nil {
 		return verdict{}, err
 	}
+	last := len(runners) - 1
+	restarted := runners[last]
 	if w.trouble {
 		w.record.add("the store answers 503")
 		w.store.setDown(true)
@@ -85,14 +107,14 @@
 			w.store.setDown(false)
 			w.record.add("the store is back")
 		})
-		if last, err = x.crash(last, "v2"); err != nil {
+		if restarted, err = x.crash(restarted, "v2"); err != nil {
 			return verdict{}, err
 		}
 	}
 	stop := x.beginStreams()
 	time.Sleep(crashedAgain)
 	if w.trouble {
-		if _, err := x.crash(last, "v2"); err != nil {
+		if err := breakOff(x, runners[:last], restarted); err != nil {
 			return verdict{}, err
 		}
 	}
@@ -160,7 +182,7 @@
 
 // stream reads a stream, and goes on at the next entry after each break.
 func (x *versions) stream(n int) {
-	s := &reading{name: fmt.Sprintf("%s%d", streamPrefix, n)}
+	s := &reading{path: fmt.Sprintf("%s%d", streamPrefix, n)}
 	for try := range maxTries {
 		if try > 0 && s.first != "" {
 			x.mu.Lock()
@@ -175,7 +197,7 @@
 
 // reading is what a client has of a stream.
 type reading struct {
-	name string
+	path string
 	// first is the id of the attempt that brought the first event.
 	first string
 	last  int
@@ -193,19 +215,19 @@
 	if s.first != "" {
 		h[headerLastID], h[headerResumes] = []string{strconv.Itoa(s.last)}, []string{s.first}
 	}
-	x.world.record.add("client sends %s as %s to %s, after event %d", s.name, id, p.ip, s.last)
+	x.world.record.add("client sends %s as %s to %s, after event %d", s.path, id, p.ip, s.last)
 	t := &try{isResumed: s.first != ""}
 	x.mu.Lock()
 	x.tries = append(x.tries, t)
 	x.mu.Unlock()
-	a, err := c.send(http.MethodPost, s.name, id, "a prompt", h, streamLimit)
+	a, err := c.send(http.MethodPost, s.path, id, "a prompt", h, streamLimit)
 	if err != nil || a.StatusCode != http.StatusOK {
 		x.world.record.add("client gets no stream for %s: %v, %v", id, err, a)
 		return false
 	}
 	err = x.read(s, id, c, a.Body)
 	t.hasEvent = s.last > before
-	x.world.record.add("client has %s up to event %d by %s, error %v", s.name, s.last, id, err)
+	x.world.record.add("client has %s up to event %d by %s, error %v", s.path, s.last, id, err)
 	return err == nil && s.last == x.events
 }
 
@@ -249,8 +271,8 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if l := x.streams[s.name]; len(l) == 0 || l[len(l)-1] != id {
-		x.streams[s.name] = append(l, id)
+	if l := x.streams[s.path]; len(l) == 0 || l[len(l)-1] != id {
+		x.streams[s.path] = append(l, id)
 	}
 	if n == x.events {
 		x.ended++
@@ -263,7 +285,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var joined []string
-	for name, attempts := range x.streams {
+	for path, attempts := range x.streams {
 		seen := map[string]bool{}
 		var parts []string
 		for _, id := range attempts {
@@ -271,7 +293,7 @@
 			parts = append(parts, id+" by "+x.versionOf[id])
 		}
 		if len(seen) > 1 {
-			joined = append(joined, name+": "+strings.Join(parts, ", "))
+			joined = append(joined, path+": "+strings.Join(parts, ", "))
 		}
 	}
 	text := fmt.Sprintf("%d streams began, %d ended, clients went on %d times; %d streams hold events from runners of two versions, %d are allowed: %s",
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -19,7 +20,7 @@
 	heartbeat = 1200 * time.Millisecond
 	// host and key are those of all requests.
 	host = "app.example"
-	key  = "key-of-the-tenant"
+	key  = "key-of-the-customer"
 )
 
 // world is what a case runs: the store, the entries and the runners.
@@ -68,7 +69,7 @@
 // startEntries starts the entries and waits until all are ready.
 func (w *world) startEntries() error {
 	for i := range entryCount {
-		p, err := w.startEntry(i+1, true)
+		p, err := w.startEntry(i + 1)
 		if err != nil {
 			return err
 		}
@@ -97,49 +98,19 @@
 	return true
 }
 
-// startEntry starts the n-th entry with the settings of a small deployment. isFirst is true only while the whole system starts for
-// the first time.
-func (w *world) startEntry(n int, isFirst bool) (*process, error) {
+// settingsFormat is that of an entry's settings, those of a small deployment.
+//
+//go:embed settings.txt
+var settingsFormat string
+
+// startEntry starts the n-th entry.
+func (w *world) startEntry(n int) (*process, error) {
 	var seeds []string
 	for i := range entryCount {
 		seeds = append(seeds, fmt.Sprintf("%q", w.ip(i+1)+":8367"))
 	}
 	ip := w.ip(n)
-	settings := fmt.Sprintf(`
-node-name: "front-%d"
-role: "entry"
-machine-class: "front"
-serves: ["front", "control"]
-ip: %q
-zone: "zone-a"
-region: "region"
-zones: {zone-a: "region"}
-listen: {front: "%s:8360", ready-addr: "%s:8365", control: "%s:8367"}
-port-range: [7500, 7515]
-seeds: [%s]
-bootstrap: %t
-limits: {cpu-share: 0.304, cores: 1, memory-mb: 284, max-fds: 4100, link-mbps: 1000.0, disk-mb: 0}
-heartbeat-ms: %d
-bounds:
-  seed-lag-s: 3
-  reuse-after-s: 2
-  contact-ms: 3000
-  drain-ms: 2000
-  grace-s: 8
-  config-apply-ms: 2000
-  outer-ms: 5000
-  revoke-strict: true
-  revoke-ms: 5000
-  retry-budget-ratio: 0.2
-  budget-window-s: 10
-  budget-min-retries: 52
-  quota-window-s: 8
-  quota-overage: 0.25
-  quota-slack: 73000
-  recover-s: 12
-  lease-ms: 3000
-provider: {address: %q, form: "read", reads-per-s: 2000, history-s: 20, value-bytes: 1048576}
-`, n, ip, ip, ip, ip, strings.Join(seeds, ", "), isFirst, heartbeat.Milliseconds(), w.store.address)
+	settings := fmt.Sprintf(settingsFormat, n, ip, ip, ip, ip, strings.Join(seeds, ", "), heartbeat.Milliseconds(), w.store.address)
 	path := filepath.Join(w.dir, fmt.Sprintf("front-%d.yaml", n))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
